--- a/build.sh
+++ b/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
 # Builds, tests and demonstrates kingcuploom.
-# Usage: ./build.sh [install|build|test|demo|bench|format|check-format|generate|check-generated|lint|asan [LABELS]|tsan [LABELS]]
+# Usage: ./build.sh [install|deploy|build|test|demo|bench|format|check-format|generate|check-generated|lint|asan [LABELS]|tsan [LABELS]]
 # LABELS: regular expression of the labels of tests to leave out of a sanitizer run.
 set -eu
 cd "$(dirname "$0")"
@@ -8,7 +8,7 @@
 deps=${KC_DEPS_DIR:-$HOME/.cache/kingcuploom}
 jobs=${KC_JOBS:-$(nproc)}
 
-packages="libulfius-dev libflatbuffers-dev flatbuffers-compiler libdocopt-dev liblog4cxx-dev libexpected-dev catch2 libasio-dev
+packages="libulfius-dev libflatbuffers-dev flatbuffers-compiler libdocopt-dev liblog4cxx-dev libexpected-dev catch2 libasio-dev libboost1.81-dev
  liblua5.4-dev libxxhash-dev ninja-build ccache libbenchmark-dev libprometheus-cpp-core1.0 cmake g++ pkg-config clang-format clang-tidy"
 
 install_packages() {
@@ -21,7 +21,11 @@
         # shellcheck disable=SC2086
         DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends $missing >/dev/null
     fi
-    # Not installable beside libulfius-dev (conflicting libcurl packages), so its headers are unpacked.
+    unpack_prometheus
+}
+
+# Not installable beside libulfius-dev (conflicting libcurl packages), so its headers are unpacked.
+unpack_prometheus() {
     if [ ! -e "$deps/prometheus-cpp/usr/include/prometheus/registry.h" ]; then
         mkdir -p "$deps/prometheus-cpp"
         (cd "$deps" && apt-get download -qq prometheus-cpp-dev 2>/dev/null && dpkg -x prometheus-cpp-dev_*.deb prometheus-cpp)
@@ -54,8 +58,18 @@
     git ls-files --cached --others --exclude-standard '*.cpp' '*.h' | grep -v /generated/
 }
 
+# Builds the daemon of the platform alone, into target/, as deploy/system.toml asks for. The platform installs the packages.
+build_deployed() {
+    deps=$PWD/target/deps
+    unpack_prometheus
+    [ -e target/build.ninja ] || cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release -DKC_BENCHMARKS=OFF -DKC_PLATFORM_ONLY=ON \
+        -DKC_DEPS_DIR="$deps" >/dev/null
+    ninja -C target -j "$jobs" kingcuploomd
+}
+
 case "${1:-build}" in
 install) install_packages ;;
+deploy) build_deployed ;;
 build) build ;;
 test)
     build
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,5 +1,7 @@
 add_library(kc_options INTERFACE)
 target_compile_options(kc_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
+# gcc 12 reports overlapping copies in concatenations of strings that cannot overlap (gcc bug 105651).
+target_compile_options(kc_options INTERFACE -Wno-restrict)
 if(KC_SANITIZE)
     # Without optimisation the seeded simulations take more than five minutes.
     target_compile_options(kc_options INTERFACE -fsanitize=${KC_SANITIZE} -fno-omit-frame-pointer -O1)
@@ -13,7 +15,9 @@
 endif()
 
 # Catch2's main is compiled once for all test programs.
-add_library(kc_catch_main STATIC ${CMAKE_SOURCE_DIR}/tests/support/CatchMain.cpp)
+if(NOT KC_PLATFORM_ONLY)
+    add_library(kc_catch_main STATIC ${CMAKE_SOURCE_DIR}/tests/support/CatchMain.cpp)
+endif()
 
 # kc_package(NAME DEPENDS ...): a library of libs/NAME with its tests and benchmarks.
 # tests/*.cpp become the program NAME_tests, benchmark/*.cpp the program NAME_benchmark.
@@ -31,7 +35,7 @@
         target_link_libraries(${NAME} INTERFACE ${ARG_DEPENDS})
     endif()
     file(GLOB TESTS CONFIGURE_DEPENDS tests/*.cpp)
-    if(TESTS)
+    if(TESTS AND NOT KC_PLATFORM_ONLY)
         add_executable(${NAME}_tests ${TESTS})
         target_include_directories(${NAME}_tests PRIVATE src)
         target_link_libraries(${NAME}_tests PRIVATE ${NAME} kc_fakes kc_catch_main kc_options ${ARG_TEST_DEPENDS})
--- /dev/null
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "base/Expected.h"
+#include "base/Ids.h"
+#include "http/HttpMessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace kingcuploom::http {
+
+enum class AsyncCallError {
+    // No byte of the request was sent.
+    NotSent,
+    // The request may have been executed, or may be executed later.
+    NoAnswer,
+};
+
+const char* toString(AsyncCallError);
+
+struct AsyncCall {
+    Address address;
+    std::string method = "GET";
+    // Path with query.
+    std::string target;
+    Headers headers;
+    std::string body;
+    Milliseconds timeout { 1000 };
+    // A call whose earlier try had no answer; it gets a new connection.
+    bool isRepeat = false;
+};
+
+struct AsyncClientLimits {
+    // An idle connection is closed after this time, because peers and paths drop idle connections without notice.
+    Milliseconds idleTimeout { 8000 };
+    Milliseconds connectTimeout { 1000 };
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+};
+
+using AsyncCallback = std::function<void(Expected<Response, AsyncCallError>)>;
+
+// HTTP/1.1 client for one event loop. All methods and callbacks run on the loop's thread. One call at a time on a connection;
+// connections are kept and reused per address.
+class AsyncHttpClient {
+public:
+    AsyncHttpClient(boost::asio::io_context&, AsyncClientLimits = {});
+    ~AsyncHttpClient();
+    AsyncHttpClient(const AsyncHttpClient&) = delete;
+    AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
+
+    // The callback is called exactly once, never from within call(). A call that timed out closes its connection. A repeated call
+    // opens a new connection, since the old one may have gone silent.
+    void call(AsyncCall, AsyncCallback);
+
+    // Closes the idle connections to the address.
+    void closeIdle(const Address&);
+
+    struct State;
+
+private:
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace kingcuploom::http
--- /dev/null
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -0,0 +1,291 @@
+#include "http/AsyncHttpClient.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <netinet/tcp.h>
+#include <optional>
+#include <set>
+#include <sys/socket.h>
+#include <vector>
+
+namespace kingcuploom::http {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    using tcp = asio::ip::tcp;
+    using SteadyTime = std::chrono::steady_clock::time_point;
+    using BeastRequest = beast::http::request<beast::http::string_body>;
+    using BeastParser = beast::http::response_parser<beast::http::string_body>;
+
+    // One timer looks after all calls, because arming a timer for each costs a system call. Deadlines are late by this much at most.
+    constexpr Milliseconds sweepInterval { 20 };
+
+    std::optional<tcp::endpoint> endpointOf(const Address& address)
+    {
+        const auto& text = address.value();
+        const auto colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return std::nullopt;
+        boost::system::error_code ec;
+        const auto ip = asio::ip::make_address_v4(text.substr(0, colon), ec);
+        const auto port = std::atoi(text.c_str() + colon + 1);
+        if (ec || port <= 0 || port > 65535)
+            return std::nullopt;
+        return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+    }
+
+    BeastRequest requestOf(const AsyncCall& call)
+    {
+        BeastRequest request(beast::http::string_to_verb(call.method), call.target, 11);
+        request.set(beast::http::field::host, call.address.value());
+        for (const auto& [name, value] : call.headers)
+            request.set(name, value);
+        if (!call.body.empty()) {
+            request.set(beast::http::field::content_type, "application/json");
+            request.body() = call.body;
+        }
+        request.prepare_payload();
+        return request;
+    }
+
+    Response responseOf(BeastParser& parser)
+    {
+        auto message = parser.release();
+        Response response;
+        response.status = static_cast<int>(message.result_int());
+        for (const auto& field : message)
+            response.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        response.body = std::move(message.body());
+        return response;
+    }
+
+} // namespace
+
+const char* toString(AsyncCallError error) { return error == AsyncCallError::NotSent ? "not_sent" : "no_answer"; }
+
+struct Connection;
+
+struct AsyncHttpClient::State : std::enable_shared_from_this<State> {
+    State(asio::io_context& loop, AsyncClientLimits limits)
+        : loop(loop)
+        , limits(limits)
+        , sweepTimer(loop)
+    {
+    }
+
+    void call(AsyncCall, AsyncCallback);
+    void release(const std::shared_ptr<Connection>&, bool isReusable);
+    void armSweep();
+    void sweep();
+    std::shared_ptr<Connection> takeIdle(const Address&);
+
+    asio::io_context& loop;
+    AsyncClientLimits limits;
+    asio::steady_timer sweepTimer;
+    bool isSweepArmed = false;
+    std::set<std::shared_ptr<Connection>> busy;
+    std::map<Address, std::vector<std::shared_ptr<Connection>>> idle;
+};
+
+struct Connection : std::enable_shared_from_this<Connection> {
+    Connection(const std::shared_ptr<AsyncHttpClient::State>& owner, Address address)
+        : owner(owner)
+        , address(std::move(address))
+        , socket(owner->loop)
+    {
+    }
+
+    void start(AsyncCall, AsyncCallback);
+    void connect();
+    void send();
+    void receive();
+    void finish(Expected<Response, AsyncCallError>, bool isReusable);
+
+    std::weak_ptr<AsyncHttpClient::State> owner;
+    Address address;
+    tcp::socket socket;
+    bool isConnected = false;
+    bool isSending = false;
+    beast::flat_buffer buffer;
+    BeastRequest request;
+    std::optional<BeastParser> parser;
+    AsyncCallback callback;
+    SteadyTime deadline;
+    SteadyTime idleSince;
+    SteadyTime connectDeadline;
+};
+
+void Connection::start(AsyncCall call, AsyncCallback done)
+{
+    const auto now = std::chrono::steady_clock::now();
+    callback = std::move(done);
+    deadline = now + call.timeout;
+    request = requestOf(call);
+    isSending = false;
+    if (isConnected)
+        return send();
+    if (const auto state = owner.lock())
+        connectDeadline = now + std::min(call.timeout, state->limits.connectTimeout);
+    connect();
+}
+
+void Connection::connect()
+{
+    const auto endpoint = endpointOf(address);
+    boost::system::error_code ec;
+    if (endpoint)
+        ec = socket.open(tcp::v4(), ec);
+    if (!endpoint || ec) {
+        asio::post(socket.get_executor(), [self = shared_from_this()] { self->finish(makeUnexpected(AsyncCallError::NotSent), false); });
+        return;
+    }
+    socket.set_option(tcp::no_delay(true), ec);
+    // Unacknowledged data ends the connection; a peer without power never answers.
+    const unsigned userTimeoutMs = 3000;
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs));
+    socket.async_connect(*endpoint, [self = shared_from_this()](const boost::system::error_code& error) {
+        if (!self->callback)
+            return;
+        if (error)
+            return self->finish(makeUnexpected(AsyncCallError::NotSent), false);
+        self->isConnected = true;
+        self->send();
+    });
+}
+
+void Connection::send()
+{
+    isSending = true;
+    beast::http::async_write(socket, request, [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (!self->callback)
+            return;
+        if (error)
+            return self->finish(makeUnexpected(AsyncCallError::NoAnswer), false);
+        self->receive();
+    });
+}
+
+void Connection::receive()
+{
+    parser.emplace();
+    if (const auto state = owner.lock())
+        parser->body_limit(state->limits.maxBodyBytes);
+    beast::http::async_read(socket, buffer, *parser, [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+        if (!self->callback)
+            return;
+        if (error)
+            return self->finish(makeUnexpected(AsyncCallError::NoAnswer), false);
+        const bool isReusable = self->parser->get().keep_alive();
+        self->finish(responseOf(*self->parser), isReusable);
+    });
+}
+
+void Connection::finish(Expected<Response, AsyncCallError> result, bool isReusable)
+{
+    const auto done = std::exchange(callback, nullptr);
+    if (const auto state = owner.lock())
+        state->release(shared_from_this(), isReusable);
+    if (done)
+        done(std::move(result));
+}
+
+void AsyncHttpClient::State::call(AsyncCall call, AsyncCallback callback)
+{
+    auto connection = call.isRepeat ? nullptr : takeIdle(call.address);
+    if (!connection)
+        connection = std::make_shared<Connection>(shared_from_this(), call.address);
+    busy.insert(connection);
+    connection->start(std::move(call), std::move(callback));
+    armSweep();
+}
+
+std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(const Address& address)
+{
+    const auto it = idle.find(address);
+    if (it == idle.end())
+        return nullptr;
+    const auto oldest = std::chrono::steady_clock::now() - limits.idleTimeout;
+    while (!it->second.empty()) {
+        auto connection = std::move(it->second.back());
+        it->second.pop_back();
+        // Readable while idle: closed by the peer, or out of step.
+        char byte = 0;
+        const bool isQuiet = recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+        if (isQuiet && connection->idleSince >= oldest)
+            return connection;
+        boost::system::error_code ec;
+        ec = connection->socket.close(ec);
+    }
+    return nullptr;
+}
+
+void AsyncHttpClient::State::release(const std::shared_ptr<Connection>& connection, bool isReusable)
+{
+    busy.erase(connection);
+    if (isReusable) {
+        connection->idleSince = std::chrono::steady_clock::now();
+        idle[connection->address].push_back(connection);
+        return;
+    }
+    boost::system::error_code ec;
+    ec = connection->socket.close(ec);
+}
+
+void AsyncHttpClient::State::armSweep()
+{
+    if (isSweepArmed || busy.empty())
+        return;
+    isSweepArmed = true;
+    sweepTimer.expires_after(sweepInterval);
+    sweepTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!self || error)
+            return;
+        self->isSweepArmed = false;
+        self->sweep();
+        self->armSweep();
+    });
+}
+
+void AsyncHttpClient::State::sweep()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::shared_ptr<Connection>> late;
+    std::ranges::copy_if(busy, std::back_inserter(late), [&](const auto& it) {
+        return it->deadline <= now || (!it->isConnected && it->connectDeadline <= now);
+    });
+    for (const auto& connection : late) {
+        const auto error = connection->isSending ? AsyncCallError::NoAnswer : AsyncCallError::NotSent;
+        connection->finish(makeUnexpected(error), false);
+    }
+}
+
+AsyncHttpClient::AsyncHttpClient(asio::io_context& loop, AsyncClientLimits limits)
+    : m_state(std::make_shared<State>(loop, limits))
+{
+}
+
+AsyncHttpClient::~AsyncHttpClient() = default;
+
+void AsyncHttpClient::call(AsyncCall call, AsyncCallback callback) { m_state->call(std::move(call), std::move(callback)); }
+
+void AsyncHttpClient::closeIdle(const Address& address)
+{
+    const auto it = m_state->idle.find(address);
+    if (it == m_state->idle.end())
+        return;
+    for (const auto& connection : it->second) {
+        boost::system::error_code ec;
+        ec = connection->socket.close(ec);
+    }
+    m_state->idle.erase(it);
+}
+
+} // namespace kingcuploom::http
--- /dev/null
+++ b/libs/node/include/node/Coordinator.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "node/Leadership.h"
+#include "node/OperatorView.h"
+#include "node/WorkerCalls.h"
+#include "scheduler/Scheduler.h"
+
+namespace kingcuploom::node {
+
+// Keys of jobs in the store.
+inline constexpr char jobPrefix[] = "kc/job/";
+inline constexpr char runPrefix[] = "kc/run/";
+inline constexpr char pendingKey[] = "kc/pending";
+std::string jobKey(const scheduler::GraphJobId&);
+// Mark of a cancelled job; lies under the prefix of jobs, so that one watch follows both.
+std::string cancelKey(const scheduler::GraphJobId&);
+std::string runKey(const scheduler::GraphJobId&);
+
+std::string encodeJob(const schema::GraphJobSpecT&);
+std::shared_ptr<schema::GraphJobSpecT> decodeJob(const std::string&);
+std::string encodeProgress(const schema::GraphJobProgressT&);
+std::unique_ptr<schema::GraphJobProgressT> decodeProgress(const std::string&);
+
+// Work of the leader for one term: reads all records, then follows jobs, workers and configuration, and carries out what the
+// scheduler decides. Runs on the event loop's thread. Must be owned by a shared pointer.
+class Coordinator : public std::enable_shared_from_this<Coordinator> {
+public:
+    Coordinator(boost::asio::io_context&, AsyncStore&, WorkerCalls&, const Clock&, const Formats&, const OperatorView&, Leadership&,
+        scheduler::Parameters, Revision term);
+
+    void start();
+    // Nothing is sent after this.
+    void stop();
+    void onOperatorChange();
+
+    bool isScheduling() const { return m_isScheduling; }
+    const scheduler::State& state() const { return m_state; }
+
+private:
+    void onJobKey(const std::string& key, const std::optional<std::string>& value, Revision);
+    void onWorkerKey(const std::string& key, const std::optional<std::string>& value);
+    void listProgress(const std::string& after);
+    void onProgressPage(const StorePage&);
+    void beginScheduling();
+    void addStoredJobs();
+
+    void tick();
+    // Lets the scheduler decide on what has come in, once for all events of a turn of the loop.
+    void requestTurn();
+    void turn();
+    void carryOut(scheduler::Orders&);
+    void carryOut(const scheduler::StartOrder&);
+    void carryOut(const scheduler::StopOrder&);
+    void carryOut(const scheduler::PaceOrder&);
+    void carryOut(const scheduler::LookOrder&);
+    void carryOut(const scheduler::Decision&);
+
+    void commitDirty();
+    bool commitSome();
+    void onCommitResult(const std::vector<std::pair<scheduler::GraphJobId, scheduler::ProgressVersion>>&, MonotonicTime sentAt,
+        const Expected<Revision, TransactionFailure>&);
+    void onConflict(const std::vector<std::pair<scheduler::GraphJobId, scheduler::ProgressVersion>>&, const std::vector<StoreItem>&);
+    void removeExpired();
+    void publishPending();
+
+    bool mayExtendLeases() const;
+    std::int64_t wallMs() const;
+
+    boost::asio::io_context& m_loop;
+    AsyncStore& m_store;
+    WorkerCalls& m_calls;
+    const Clock& m_clock;
+    const Formats& m_formats;
+    const OperatorView& m_operators;
+    Leadership& m_leadership;
+    scheduler::State m_state;
+    std::shared_ptr<PrefixMirror> m_jobs;
+    std::shared_ptr<PrefixMirror> m_workers;
+    boost::asio::steady_timer m_tickTimer;
+
+    // Read before scheduling begins.
+    std::map<scheduler::GraphJobId, std::shared_ptr<schema::GraphJobSpecT>> m_storedJobs;
+    std::map<scheduler::GraphJobId, std::pair<std::unique_ptr<schema::GraphJobProgressT>, Revision>> m_storedProgress;
+    std::set<scheduler::GraphJobId> m_storedCancels;
+    bool m_areJobsRead = false;
+    bool m_isProgressRead = false;
+    bool m_areWorkersRead = false;
+    bool m_isScheduling = false;
+
+    scheduler::Orders m_orders;
+    bool m_isTurnRequested = false;
+    bool m_isStopped = false;
+    unsigned m_commitsInFlight = 0;
+    MonotonicTime m_commitNotBefore;
+    MonotonicTime m_housekeepingAt;
+    std::string m_publishedPending;
+    bool m_isPublishing = false;
+    unsigned m_ticks = 0;
+};
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/include/node/JobService.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "node/AsyncStore.h"
+#include "node/OperatorView.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+
+namespace kingcuploom::node {
+
+enum class SubmitOutcome {
+    // Stored; also when it was stored before.
+    Accepted,
+    // Not stored, and never will be.
+    NotAccepted,
+    // It is not known whether it was stored.
+    Unclear,
+};
+
+enum class CancelOutcome {
+    Cancelled,
+    NoSuchJob,
+    // The store did not answer in time.
+    Unclear,
+};
+
+enum class QueryError {
+    NoSuchJob,
+    StoreUnavailable,
+};
+
+const char* toString(SubmitOutcome);
+const char* toString(CancelOutcome);
+const char* toString(QueryError);
+
+// Takes jobs in and answers about them, on every node, through the store alone. The methods block their caller until the answer or
+// the time is there; they must not be called on the event loop's thread.
+class JobService {
+public:
+    JobService(boost::asio::io_context&, AsyncStore&, const Clock&);
+
+    SubmitOutcome submit(const schema::GraphJobSpecT&, Milliseconds time);
+    CancelOutcome cancel(const scheduler::GraphJobId&, Milliseconds time);
+    Expected<schema::JobState, QueryError> state(const scheduler::GraphJobId&, Milliseconds time);
+    Expected<std::uint32_t, QueryError> pending(const scheduler::QueueName&, Milliseconds time);
+
+private:
+    struct Submission;
+    template <typename T> T wait(Milliseconds time, T fallback, std::function<void(std::function<void(T)>)> start);
+    void tryStore(const std::shared_ptr<Submission>&);
+    void onStored(const std::shared_ptr<Submission>&, const Expected<Revision, TransactionFailure>&);
+    void retryLater(Milliseconds pause, std::function<void()>);
+    void readState(const scheduler::GraphJobId&, std::function<void(Expected<schema::JobState, QueryError>)>);
+    void markCancelled(const scheduler::GraphJobId&, MonotonicTime until, std::function<void(CancelOutcome)>);
+
+    boost::asio::io_context& m_loop;
+    AsyncStore& m_store;
+    const Clock& m_clock;
+};
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/include/node/PrefixMirror.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "node/AsyncStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace kingcuploom::node {
+
+struct MirrorEvents {
+    // A key was written, or removed (no value). Never called with an older revision of a key.
+    std::function<void(const std::string& key, const std::optional<std::string>& value, Revision)> onChange;
+    // All changes up to a moment after the call was sent have been reported.
+    std::function<void(MonotonicTime sentAt)> onCurrent;
+    // The store did not answer as it should.
+    std::function<void(StoreError)> onFailure;
+};
+
+// Follows all keys under a prefix: lists them, then watches, and lists again when the history is lost.
+// Runs on the event loop's thread. Must be owned by a shared pointer.
+class PrefixMirror : public std::enable_shared_from_this<PrefixMirror> {
+public:
+    PrefixMirror(boost::asio::io_context&, AsyncStore&, const Clock&, std::string prefix, Milliseconds wait, MirrorEvents);
+
+    void start();
+    // No event is reported after this.
+    void stop();
+
+private:
+    void list(const std::string& after);
+    void onPage(const StorePage&, MonotonicTime sentAt);
+    void watch();
+    void onEvents(const StoreEvents&, MonotonicTime sentAt);
+    void apply(const std::string& key, const std::optional<std::string>& value, Revision);
+    void fail(StoreError);
+    void retryLater();
+
+    AsyncStore& m_store;
+    const Clock& m_clock;
+    std::string m_prefix;
+    Milliseconds m_wait;
+    MirrorEvents m_events;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, Revision> m_known;
+    // Keys seen by the listing that is under way.
+    std::map<std::string, Revision> m_listed;
+    // Revision of the first page: later pages may miss changes from then on, which the watch reports.
+    std::optional<Revision> m_listedFrom;
+    MonotonicTime m_listSentAt;
+    Revision m_position;
+    bool m_isListing = true;
+    bool m_isStopped = false;
+};
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/src/JobService.cpp
@@ -0,0 +1,200 @@
+#include "node/JobService.h"
+
+#include "node/Coordinator.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <future>
+
+namespace kingcuploom::node {
+
+namespace {
+
+    using scheduler::GraphJobId;
+
+    // The store's limit of calls is one of a second; one pause lets a short peak pass.
+    constexpr Milliseconds refusedPause { 60 };
+    constexpr unsigned maxRefusals = 2;
+    constexpr Milliseconds unansweredPause { 30 };
+
+} // namespace
+
+const char* toString(SubmitOutcome outcome)
+{
+    switch (outcome) {
+    case SubmitOutcome::Accepted:
+        return "accepted";
+    case SubmitOutcome::NotAccepted:
+        return "not_accepted";
+    case SubmitOutcome::Unclear:
+        break;
+    }
+    return "unclear";
+}
+
+const char* toString(CancelOutcome outcome)
+{
+    switch (outcome) {
+    case CancelOutcome::Cancelled:
+        return "cancelled";
+    case CancelOutcome::NoSuchJob:
+        return "no_such_job";
+    case CancelOutcome::Unclear:
+        break;
+    }
+    return "unclear";
+}
+
+const char* toString(QueryError error) { return error == QueryError::NoSuchJob ? "no_such_job" : "store_unavailable"; }
+
+struct JobService::Submission {
+    Transaction transaction;
+    MonotonicTime until;
+    std::function<void(SubmitOutcome)> onDone;
+    unsigned refusals = 0;
+    // A try had no answer and may still take effect.
+    bool isUnclear = false;
+};
+
+JobService::JobService(boost::asio::io_context& loop, AsyncStore& store, const Clock& clock)
+    : m_loop(loop)
+    , m_store(store)
+    , m_clock(clock)
+{
+}
+
+template <typename T> T JobService::wait(Milliseconds time, T fallback, std::function<void(std::function<void(T)>)> start)
+{
+    const auto promise = std::make_shared<std::promise<T>>();
+    auto future = promise->get_future();
+    boost::asio::post(m_loop, [start = std::move(start), promise] { start([promise](T result) { promise->set_value(std::move(result)); }); });
+    return future.wait_for(time) == std::future_status::ready ? future.get() : fallback;
+}
+
+void JobService::retryLater(Milliseconds pause, std::function<void()> retry)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, pause);
+    timer->async_wait([timer, retry = std::move(retry)](const boost::system::error_code& error) {
+        if (!error)
+            retry();
+    });
+}
+
+SubmitOutcome JobService::submit(const schema::GraphJobSpecT& spec, Milliseconds time)
+{
+    const GraphJobId id(spec.job);
+    const auto submission = std::make_shared<Submission>();
+    // The conditions make a repeated or delayed transaction harmless: only the first one creates the job.
+    submission->transaction.conditions = { { jobKey(id), {} }, { runKey(id), {} } };
+    submission->transaction.writes = { { jobKey(id), encodeJob(spec), {} } };
+    submission->until = m_clock.now() + time;
+    return wait<SubmitOutcome>(time, SubmitOutcome::Unclear, [this, submission](std::function<void(SubmitOutcome)> onDone) {
+        submission->onDone = std::move(onDone);
+        tryStore(submission);
+    });
+}
+
+void JobService::tryStore(const std::shared_ptr<Submission>& submission)
+{
+    m_store.commit(submission->transaction, [this, submission](const auto& result) { onStored(submission, result); });
+}
+
+void JobService::onStored(const std::shared_ptr<Submission>& submission, const Expected<Revision, TransactionFailure>& result)
+{
+    if (result || result.error().error == StoreError::Conflict)
+        return submission->onDone(SubmitOutcome::Accepted);
+    const bool isRefused = result.error().error == StoreError::Refused;
+    submission->isUnclear = submission->isUnclear || !isRefused;
+    submission->refusals += isRefused ? 1 : 0;
+    if (!submission->isUnclear && submission->refusals >= maxRefusals)
+        return submission->onDone(SubmitOutcome::NotAccepted);
+    if (m_clock.now() >= submission->until)
+        return;
+    retryLater(isRefused ? refusedPause : unansweredPause, [this, submission] { tryStore(submission); });
+}
+
+void JobService::readState(const GraphJobId& id, std::function<void(Expected<schema::JobState, QueryError>)> onDone)
+{
+    m_store.get(runKey(id), [this, id, onDone](const Expected<std::optional<StoreItem>, StoreError>& item) {
+        if (!item)
+            return onDone(makeUnexpected(QueryError::StoreUnavailable));
+        if (*item) {
+            const auto progress = decodeProgress((*item)->value);
+            return progress ? onDone(progress->state) : onDone(makeUnexpected(QueryError::StoreUnavailable));
+        }
+        m_store.get(jobKey(id), [onDone](const Expected<std::optional<StoreItem>, StoreError>& job) {
+            if (!job)
+                return onDone(makeUnexpected(QueryError::StoreUnavailable));
+            if (!*job)
+                return onDone(makeUnexpected(QueryError::NoSuchJob));
+            onDone(schema::JobState::Queued);
+        });
+    });
+}
+
+Expected<schema::JobState, QueryError> JobService::state(const GraphJobId& id, Milliseconds time)
+{
+    using Result = Expected<schema::JobState, QueryError>;
+    return wait<Result>(time, makeUnexpected(QueryError::StoreUnavailable),
+        [this, id](std::function<void(Result)> onDone) { readState(id, std::move(onDone)); });
+}
+
+void JobService::markCancelled(const GraphJobId& id, MonotonicTime until, std::function<void(CancelOutcome)> onDone)
+{
+    const auto retry = [this, id, until, onDone] {
+        if (m_clock.now() < until)
+            retryLater(unansweredPause, [this, id, until, onDone] { markCancelled(id, until, onDone); });
+    };
+    m_store.get(jobKey(id), [this, id, onDone, retry](const Expected<std::optional<StoreItem>, StoreError>& job) {
+        if (!job)
+            return retry();
+        if (!*job) {
+            // Ended, or never accepted.
+            return readState(id, [onDone, retry](const Expected<schema::JobState, QueryError>& state) {
+                if (state)
+                    return onDone(CancelOutcome::Cancelled);
+                if (state.error() == QueryError::NoSuchJob)
+                    return onDone(CancelOutcome::NoSuchJob);
+                retry();
+            });
+        }
+        Transaction transaction;
+        transaction.conditions = { { jobKey(id), (*job)->revision } };
+        transaction.writes = { { cancelKey(id), "cancel", {} } };
+        m_store.commit(transaction, [onDone, retry](const Expected<Revision, TransactionFailure>& result) {
+            if (result)
+                return onDone(CancelOutcome::Cancelled);
+            retry();
+        });
+    });
+}
+
+CancelOutcome JobService::cancel(const GraphJobId& id, Milliseconds time)
+{
+    return wait<CancelOutcome>(time, CancelOutcome::Unclear, [this, id, until = m_clock.now() + time](auto onDone) {
+        markCancelled(id, until, std::move(onDone));
+    });
+}
+
+Expected<std::uint32_t, QueryError> JobService::pending(const scheduler::QueueName& queue, Milliseconds time)
+{
+    using Result = Expected<std::uint32_t, QueryError>;
+    return wait<Result>(time, makeUnexpected(QueryError::StoreUnavailable), [this, queue](std::function<void(Result)> onDone) {
+        m_store.get(pendingKey, [queue, onDone](const Expected<std::optional<StoreItem>, StoreError>& item) {
+            if (!item)
+                return onDone(makeUnexpected(QueryError::StoreUnavailable));
+            if (!*item)
+                return onDone(0U);
+            const auto& value = (*item)->value;
+            flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+            if (!verifier.VerifyBuffer<schema::QueueCounts>())
+                return onDone(makeUnexpected(QueryError::StoreUnavailable));
+            schema::QueueCountsT counts;
+            flatbuffers::GetRoot<schema::QueueCounts>(value.data())->UnPackTo(&counts);
+            const auto it = std::ranges::find_if(counts.counts, [&](const auto& count) { return count->queue == queue.value(); });
+            onDone(it == counts.counts.end() ? 0U : (*it)->pending);
+        });
+    });
+}
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/src/Leadership.cpp
@@ -0,0 +1,256 @@
+#include "node/Leadership.h"
+
+#include "base/Log.h"
+#include "schema/generated/jobs_generated.h"
+
+#include <algorithm>
+
+namespace kingcuploom::node {
+
+namespace {
+
+    constexpr char leadPrefix[] = "kc/lead/";
+    // A lost leader is noticed after this time.
+    constexpr Milliseconds leaseTime { 2000 };
+    constexpr Milliseconds renewInterval { 600 };
+    constexpr Milliseconds tickInterval { 100 };
+    // Without a commit in this time the term is read, to learn whether this node still leads.
+    constexpr Milliseconds confirmInterval { 500 };
+    constexpr Milliseconds watchTime { 1500 };
+    // Candidates stand after a random part of this, so that most see that another one was first.
+    constexpr Milliseconds standSpread { 60 };
+    // Candidates with little processor time stand later by up to this.
+    constexpr Milliseconds smallNodeDelay { 400 };
+    // The node that leads, and whose key is lost while the store is away, goes first.
+    constexpr Milliseconds retryPause { 300 };
+
+    std::unique_ptr<schema::LeaderRecordT> parseRecord(const std::string& value)
+    {
+        flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(value.data()), value.size());
+        if (!verifier.VerifyBuffer<schema::LeaderRecord>())
+            return nullptr;
+        return std::unique_ptr<schema::LeaderRecordT>(flatbuffers::GetRoot<schema::LeaderRecord>(value.data())->UnPack());
+    }
+
+} // namespace
+
+Leadership::Leadership(
+    boost::asio::io_context& loop, AsyncStore& store, const Clock& clock, LeadershipSettings settings, LeadershipEvents events)
+    : m_store(store)
+    , m_clock(clock)
+    , m_settings(std::move(settings))
+    , m_events(std::move(events))
+    , m_timer(loop)
+    , m_random(m_settings.seed)
+{
+    MirrorEvents mirrorEvents;
+    mirrorEvents.onChange = [this](const auto& key, const auto& value, Revision revision) { take(key, value, revision); };
+    mirrorEvents.onCurrent = [this](MonotonicTime) {
+        m_isCurrent = true;
+        considerStanding();
+    };
+    mirrorEvents.onFailure = [this](StoreError) { m_isCurrent = false; };
+    m_mirror = std::make_shared<PrefixMirror>(loop, store, clock, leadPrefix, watchTime, std::move(mirrorEvents));
+}
+
+void Leadership::start()
+{
+    m_mirror->start();
+    tick();
+}
+
+void Leadership::resign(std::function<void()> onDone)
+{
+    m_isResigned = true;
+    if (!m_leadingTerm)
+        return onDone();
+    m_leadingTerm.reset();
+    logEvent(LogLevel::Info, "leadership_resigned", { { "term", m_term } });
+    m_events.onDeposed();
+    m_store.endLease(m_lease, [onDone = std::move(onDone)](const auto&) { onDone(); });
+}
+
+void Leadership::confirm(MonotonicTime sentAt) { m_confirmedAt = std::max(m_confirmedAt, sentAt); }
+
+void Leadership::depose()
+{
+    if (!m_leadingTerm)
+        return;
+    logEvent(LogLevel::Warning, "leadership_lost", { { "term", *m_leadingTerm }, { "newer_term", m_term } });
+    m_leadingTerm.reset();
+    m_events.onDeposed();
+}
+
+void Leadership::take(const std::string& key, const std::optional<std::string>& value, Revision revision)
+{
+    if (key == termKey) {
+        m_term = std::max(m_term, revision);
+        if (m_leadingTerm && m_term > *m_leadingTerm)
+            depose();
+        return;
+    }
+    if (key != holderKey)
+        return;
+    m_holder = value ? std::optional(revision) : std::nullopt;
+    const auto record = value ? parseRecord(*value) : nullptr;
+    m_holderNode = record ? record->node : std::string();
+    m_holderIncarnation = record ? record->incarnation : 0;
+    if (value)
+        m_standAt.reset();
+    logEvent(LogLevel::Info, "leader_seen", { { "holder", m_holderNode.empty() ? "none" : m_holderNode }, { "revision", revision } });
+}
+
+bool Leadership::isHolderOurs() const
+{
+    return m_holder && m_holderNode == m_settings.node && m_holderIncarnation == m_settings.incarnation;
+}
+
+std::string Leadership::record() const
+{
+    schema::LeaderRecordT record;
+    record.node = m_settings.node;
+    record.incarnation = m_settings.incarnation;
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(schema::LeaderRecord::Pack(builder, &record));
+    return { reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize() };
+}
+
+Milliseconds Leadership::standingDelay()
+{
+    const auto share = std::clamp(m_settings.processorShare, 0.0, 0.5) * 2;
+    const auto ofSize = std::chrono::duration_cast<Milliseconds>(smallNodeDelay * (1 - share));
+    return ofSize + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, standSpread.count())(m_random));
+}
+
+void Leadership::tick()
+{
+    const auto now = m_clock.now();
+    if (m_leadingTerm) {
+        if (!m_isRenewing && now - m_renewedAt >= renewInterval)
+            renew();
+        if (!m_isChecking && now - std::max(m_confirmedAt, m_checkSentAt) >= confirmInterval)
+            checkTerm();
+    } else {
+        considerStanding();
+    }
+    m_timer.expires_after(tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+void Leadership::considerStanding()
+{
+    if (m_leadingTerm || m_isStanding || m_isResigned || !m_isCurrent)
+        return;
+    // A claim of this process had no answer and took effect: holder and term were written together.
+    if (isHolderOurs() && *m_holder == m_term)
+        return lead(m_term, m_claimLease, m_clock.now());
+    // The key of an earlier process of this node: that process has ended, since its addresses are free.
+    const bool isOfEarlierProcess = m_holder && m_holderNode == m_settings.node && !isHolderOurs();
+    if (m_holder && !isOfEarlierProcess)
+        return;
+    const auto now = m_clock.now();
+    if (!m_standAt)
+        m_standAt = isOfEarlierProcess ? now : now + standingDelay();
+    if (now >= *m_standAt)
+        stand();
+}
+
+void Leadership::stand()
+{
+    m_isStanding = true;
+    m_store.grantLease(leaseTime, [this](const Expected<LeaseId, StoreError>& lease) {
+        if (lease)
+            return claim(*lease);
+        m_isStanding = false;
+        m_standAt = m_clock.now() + retryPause;
+    });
+}
+
+void Leadership::claim(LeaseId lease)
+{
+    m_claimLease = lease;
+    Transaction transaction;
+    transaction.conditions = { { holderKey, m_holder.value_or(Revision()) }, { termKey, m_term } };
+    transaction.writes = { { holderKey, record(), lease }, { termKey, record(), {} } };
+    const auto sentAt = m_clock.now();
+    m_store.commit(transaction, [this, lease, sentAt](const auto& result) { onClaimed(lease, sentAt, result); });
+}
+
+void Leadership::onClaimed(LeaseId lease, MonotonicTime sentAt, const Expected<Revision, TransactionFailure>& result)
+{
+    m_isStanding = false;
+    m_standAt.reset();
+    if (!result) {
+        // A claim without an answer may have taken effect; the mirror then shows a holder that is this process, and the lease lapses.
+        m_standAt = m_clock.now() + retryPause;
+        return;
+    }
+    lead(*result, lease, sentAt);
+}
+
+void Leadership::lead(Revision term, LeaseId lease, MonotonicTime sentAt)
+{
+    if (m_isResigned || m_leadingTerm || term < m_term)
+        return;
+    m_lease = lease;
+    m_term = term;
+    m_leadingTerm = term;
+    m_confirmedAt = sentAt;
+    m_renewedAt = sentAt;
+    logEvent(LogLevel::Info, "leadership_taken", { { "term", m_term }, { "node", m_settings.node } });
+    m_events.onLeading(m_term);
+}
+
+void Leadership::renew()
+{
+    m_isRenewing = true;
+    m_renewedAt = m_clock.now();
+    m_store.keepLease(m_lease, [this](const Expected<Done, StoreError>& result) {
+        m_isRenewing = false;
+        if (m_leadingTerm && !result && result.error() == StoreError::LeaseGone)
+            renewHolder();
+    });
+}
+
+// The lease has lapsed and no other node has taken the term: the state of this leader is still good.
+void Leadership::renewHolder()
+{
+    m_isRenewing = true;
+    m_store.grantLease(leaseTime, [this](const Expected<LeaseId, StoreError>& lease) {
+        if (!lease || !m_leadingTerm) {
+            m_isRenewing = false;
+            return;
+        }
+        Transaction transaction;
+        transaction.conditions = { { holderKey, {} }, { termKey, *m_leadingTerm } };
+        transaction.writes = { { holderKey, record(), *lease } };
+        const auto sentAt = m_clock.now();
+        m_store.commit(transaction, [this, lease = *lease, sentAt](const Expected<Revision, TransactionFailure>& result) {
+            m_isRenewing = false;
+            if (!result || !m_leadingTerm)
+                return;
+            m_lease = lease;
+            confirm(sentAt);
+            logEvent(LogLevel::Info, "leader_lease_renewed", { { "term", m_term } });
+        });
+    });
+}
+
+void Leadership::checkTerm()
+{
+    m_isChecking = true;
+    m_checkSentAt = m_clock.now();
+    m_store.get(termKey, [this, sentAt = m_checkSentAt](const Expected<std::optional<StoreItem>, StoreError>& item) {
+        m_isChecking = false;
+        if (!item || !m_leadingTerm)
+            return;
+        if (!*item || (*item)->revision != *m_leadingTerm)
+            return depose();
+        confirm(sentAt);
+    });
+}
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/src/Node.cpp
@@ -0,0 +1,67 @@
+#include "node/Node.h"
+
+#include "base/Log.h"
+
+#include <boost/asio/post.hpp>
+
+namespace kingcuploom::node {
+
+namespace {
+
+    // A node that has not heard of the store for this time sends callers to others.
+    constexpr Milliseconds storeSilence { 2500 };
+
+} // namespace
+
+Node::Node(boost::asio::io_context& loop, AsyncStore& store, WorkerCalls& calls, const Clock& clock, Formats formats, NodeSettings settings)
+    : m_loop(loop)
+    , m_store(store)
+    , m_calls(calls)
+    , m_clock(clock)
+    , m_formats(std::move(formats))
+    , m_settings(std::move(settings))
+    , m_operators(loop, store, clock, m_formats,
+          [this] {
+              if (m_coordinator)
+                  m_coordinator->onOperatorChange();
+          })
+    , m_leadership(loop, store, clock, m_settings.leadership, { [this](Revision term) { lead(term); }, [this] { follow(); } })
+    , m_jobs(loop, store, clock)
+{
+}
+
+void Node::start()
+{
+    m_operators.start();
+    m_leadership.start();
+}
+
+void Node::beginShutdown()
+{
+    if (m_isShuttingDown.exchange(true))
+        return;
+    boost::asio::post(m_loop, [this] { m_leadership.resign([] { logEvent(LogLevel::Info, "shutdown_leadership_free"); }); });
+}
+
+bool Node::isReady() const
+{
+    const auto snapshot = m_operators.snapshot();
+    return !m_isShuttingDown && snapshot->configuration && m_clock.now() - snapshot->confirmedAt < storeSilence;
+}
+
+void Node::lead(Revision term)
+{
+    follow();
+    m_coordinator = std::make_shared<Coordinator>(
+        m_loop, m_store, m_calls, m_clock, m_formats, m_operators, m_leadership, m_settings.scheduler, term);
+    m_coordinator->start();
+}
+
+void Node::follow()
+{
+    if (m_coordinator)
+        m_coordinator->stop();
+    m_coordinator.reset();
+}
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/node/src/OperatorView.cpp
@@ -0,0 +1,127 @@
+#include "node/OperatorView.h"
+
+#include "base/Log.h"
+
+#include <algorithm>
+
+namespace kingcuploom::node {
+
+namespace {
+
+    // A watch that hears nothing ends after this time, so that a silent connection is noticed within the time in which a
+    // configuration has to be in force.
+    constexpr Milliseconds watchTime { 900 };
+
+    bool isMatch(const QueueRoute& route, const std::string& host, const std::string& path)
+    {
+        return route.host == host && path.starts_with(route.prefix);
+    }
+
+} // namespace
+
+const char* toString(FormatError error)
+{
+    switch (error) {
+    case FormatError::NotReadable:
+        return "not_readable";
+    case FormatError::MissingField:
+        return "missing_field";
+    case FormatError::WrongType:
+        return "wrong_type";
+    case FormatError::OutOfRange:
+        return "out_of_range";
+    case FormatError::UnknownWord:
+        break;
+    }
+    return "unknown_word";
+}
+
+const QueueRoute* findRoute(const Configuration& configuration, const std::string& host, const std::string& path)
+{
+    const QueueRoute* best = nullptr;
+    for (const auto& route : configuration.routes) {
+        if (isMatch(route, host, path) && (!best || route.prefix.size() > best->prefix.size()))
+            best = &route;
+    }
+    return best;
+}
+
+scheduler::QueueName queueNameOf(const QueueRoute& route) { return scheduler::QueueName(route.host + route.prefix); }
+
+OperatorView::OperatorView(
+    boost::asio::io_context& loop, AsyncStore& store, const Clock& clock, const Formats& formats, std::function<void()> onChange)
+    : m_formats(formats)
+    , m_onChange(std::move(onChange))
+    , m_snapshot(std::make_shared<OperatorState>())
+{
+    MirrorEvents events;
+    events.onChange = [this](const auto& key, const auto& value, Revision revision) { take(key, value, revision); };
+    events.onCurrent = [this](MonotonicTime sentAt) {
+        m_state.confirmedAt = sentAt;
+        publish();
+    };
+    events.onFailure = [](StoreError error) { logEvent(LogLevel::Debug, "operator_watch_failed", { { "reason", toString(error) } }); };
+    m_mirror = std::make_shared<PrefixMirror>(loop, store, clock, formats.operatorPrefix, watchTime, std::move(events));
+}
+
+void OperatorView::start() { m_mirror->start(); }
+
+void OperatorView::stop() { m_mirror->stop(); }
+
+std::shared_ptr<const OperatorState> OperatorView::snapshot() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_snapshot;
+}
+
+void OperatorView::take(const std::string& key, const std::optional<std::string>& value, Revision revision)
+{
+    if (!value) {
+        m_isChanged = m_closures.erase(key) > 0 || m_isChanged;
+        logEvent(LogLevel::Info, "operator_key_removed", { { "key", key }, { "revision", revision } });
+        return;
+    }
+    const auto document = m_formats.decodeOperator(key, *value);
+    if (!document) {
+        logEvent(LogLevel::Warning, "operator_key_unreadable", { { "key", key }, { "reason", toString(document.error()) } });
+        return;
+    }
+    takeDocument(key, *document, revision);
+}
+
+void OperatorView::takeDocument(const std::string& key, const OperatorDocument& document, Revision revision)
+{
+    if (const auto* closure = std::get_if<DomainClosure>(&document)) {
+        m_closures[key] = closure->domain;
+        m_isChanged = true;
+        logEvent(LogLevel::Info, "domain_closed", { { "domain", closure->domain }, { "revision", revision } });
+        return;
+    }
+    const auto* configuration = std::get_if<Configuration>(&document);
+    if (!configuration)
+        return;
+    const auto known = m_state.configuration ? m_state.configuration->version : -1;
+    if (configuration->version <= known)
+        return;
+    m_state.configuration = *configuration;
+    m_isChanged = true;
+    logEvent(LogLevel::Info, "configuration_in_force",
+        { { "version", configuration->version }, { "before", known }, { "routes", configuration->routes.size() },
+            { "revision", revision } });
+}
+
+void OperatorView::publish()
+{
+    m_state.closedDomains.clear();
+    for (const auto& [key, domain] : m_closures)
+        m_state.closedDomains.insert(domain);
+    auto snapshot = std::make_shared<const OperatorState>(m_state);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_snapshot = std::move(snapshot);
+    }
+    if (std::exchange(m_isChanged, false))
+        m_onChange();
+}
+
+} // namespace kingcuploom::node
--- /dev/null
+++ b/libs/scheduler/include/scheduler/Placement.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "scheduler/Orders.h"
+
+namespace kingcuploom::scheduler {
+
+// Places waiting tasks on workers, in the order of priority and of the time left. A placed run waits for the commit that records it.
+void placeWaiting(State&, MonotonicTime now, Orders&);
+
+// Starts copies of speculative tasks whose run is late, or on a worker that does not answer.
+void placeCopies(State&, MonotonicTime now, Orders&);
+
+// Some worker of the fleet is large enough, with the label that the step asks for.
+bool fitsFleet(const State&, const ServiceName&, const schema::StepSpecT&);
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Fleet.cpp
@@ -0,0 +1,245 @@
+#include "scheduler/Fleet.h"
+
+#include "scheduler/Pacing.h"
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Wait at a worker for an end. Progress and tail latencies are as old as this at most.
+    constexpr Milliseconds lookWait { 1000 };
+    // Where serving and filling tasks share a worker, tail latencies decide on the pace.
+    constexpr Milliseconds pacingLookWait { 500 };
+    // An idle worker is looked at to keep its clock known.
+    constexpr Milliseconds idleLookInterval { 5000 };
+    // Between two looks, so that ends that come together are taken together.
+    constexpr Milliseconds lookPause { 20 };
+    // A worker answers a look at once while ends are not acknowledged.
+    constexpr Milliseconds uncommittedLookPause { 80 };
+    constexpr Milliseconds failedLookPause { 250 };
+    // A worker that is not listed and runs nothing is forgotten after this time.
+    constexpr Milliseconds unlistedRetention { 2000 };
+    // Work that a leaving worker may still finish is left to it for this time.
+    constexpr Milliseconds drainPatience { 1200 };
+
+    void resetIncarnation(Worker& worker, Born born)
+    {
+        worker.born = born;
+        worker.clockMs.reset();
+        worker.hasSeenFence = false;
+        worker.seenEnd = {};
+        worker.committedEnd = {};
+        worker.uncommittedEnds.clear();
+        worker.health = {};
+        worker.fillPace = 100;
+        worker.servingPressure = 0;
+        worker.missedLooks = 0;
+    }
+
+    // Runs of the earlier incarnation ended with it. A start that was under way may have reached the new one.
+    void onNewIncarnation(State& state, Worker& worker, Born born, MonotonicTime now, Orders& orders)
+    {
+        orders.emplace_back(
+            Decision { "worker_restarted", {}, worker.id, "new_incarnation", {}, static_cast<std::int64_t>(worker.runs.size()) });
+        const auto earlier = worker.born;
+        resetIncarnation(worker, born);
+        const auto refs = worker.runs;
+        for (const auto& ref : refs) {
+            auto* run = findRun(state, ref);
+            if (!run || run->born == born)
+                continue;
+            const bool isOfEarlier = run->isListed || run->phase == RunPhase::Unverified || run->born != earlier;
+            if (isOfEarlier || run->phase == RunPhase::Recording)
+                releaseRun(state, ref, now);
+            else
+                stopRun(state, ref, StopReason::StartUnclear, now, orders);
+        }
+    }
+
+    void takeListed(State& state, Worker& worker, const ListedRun& listed, MonotonicTime now, Orders& orders)
+    {
+        auto* run = findRun(state, listed.run);
+        if (!run || run->worker != worker.id) {
+            orders.emplace_back(Decision { "run_unknown", toString(listed.run), worker.id, "stopped", {}, listed.percent });
+            orders.emplace_back(StopOrder { listed.run, worker.id, StopReason::JobEnded });
+            return;
+        }
+        const bool isNew = run->phase == RunPhase::Starting || run->phase == RunPhase::Unverified;
+        if (isNew) {
+            run->phase = RunPhase::Running;
+            run->startConfirmedAt = now;
+            run->percentChangedAt = now;
+            auto* job = findJob(state, listed.run.task.job);
+            if (job->state == schema::JobState::Queued)
+                job->state = schema::JobState::Running;
+        }
+        if (!run->isListed || run->percent != listed.percent)
+            run->percentChangedAt = now;
+        run->isListed = true;
+        run->born = worker.born;
+        run->percent = listed.percent;
+        run->figure = listed.figure;
+        run->checkpoint = listed.checkpoint;
+        const bool isUnneeded = hasEnded(*findJob(state, listed.run.task.job)) || findTask(state, listed.run.task)->isDone;
+        if (isUnneeded)
+            stopRun(state, listed.run, StopReason::JobEnded, now, orders);
+    }
+
+    // A run that the worker should list and does not.
+    void takeMissing(State& state, Worker& worker, const RunRef& ref, MonotonicTime sentAt, MonotonicTime now, Orders& orders)
+    {
+        const auto* run = findRun(state, ref);
+        if (!run)
+            return;
+        const bool wasStarted = run->startConfirmedAt && *run->startConfirmedAt < sentAt;
+        const bool wasStopped = run->stopConfirmedAt && *run->stopConfirmedAt < sentAt;
+        // The fence of this term keeps a late start order of an earlier leader from being carried out.
+        const bool isOfEarlierTerm = run->phase == RunPhase::Unverified;
+        const bool isGone = run->phase == RunPhase::Stopping ? wasStopped : (wasStarted || isOfEarlierTerm);
+        if (!isGone)
+            return;
+        orders.emplace_back(Decision { "run_missing", toString(ref), worker.id, isOfEarlierTerm ? "never_started" : "not_listed",
+            std::chrono::duration_cast<Milliseconds>(now - sentAt), run->percent });
+        releaseRun(state, ref, now);
+    }
+
+    bool hasPacing(const Worker& worker) { return worker.servingCpuMillis > 0 && worker.fillingCpuMillis > 0; }
+
+    Milliseconds waitOf(const Worker& worker)
+    {
+        if (worker.runs.empty())
+            return Milliseconds(0);
+        return hasPacing(worker) ? pacingLookWait : lookWait;
+    }
+
+    void leaveWorker(State& state, Worker& worker, MonotonicTime now, Orders& orders)
+    {
+        if (now - worker.drainingSince < drainPatience)
+            return;
+        const auto refs = worker.runs;
+        std::ranges::for_each(refs, [&](const RunRef& ref) { stopRun(state, ref, StopReason::WorkerLeaving, now, orders); });
+    }
+
+} // namespace
+
+void onWorkerListed(State& state, const WorkerEntry& entry, MonotonicTime now, Orders& orders)
+{
+    auto& worker = state.workers[entry.id];
+    worker.id = entry.id;
+    // An entry may be older than what the worker itself has said.
+    if (entry.born > worker.born)
+        onNewIncarnation(state, worker, entry.born, now, orders);
+    if (entry.born < worker.born)
+        return;
+    worker.service = entry.service;
+    worker.address = entry.address;
+    worker.domain = entry.domain;
+    worker.rack = entry.rack;
+    worker.labels = entry.labels;
+    worker.capacity = entry.capacity;
+    worker.isListed = true;
+    if (entry.isDraining && !worker.isDraining)
+        worker.drainingSince = now;
+    worker.isDraining = entry.isDraining;
+}
+
+void onWorkerUnlisted(State& state, const WorkerId& id, MonotonicTime now)
+{
+    auto* worker = findWorker(state, id);
+    if (!worker || !worker->isListed)
+        return;
+    worker->isListed = false;
+    worker->unlistedSince = now;
+}
+
+std::optional<std::int64_t> extendLease(const State& state, Worker& worker, MonotonicTime now)
+{
+    if (!worker.clockMs)
+        return std::nullopt;
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - worker.clockAt);
+    const auto& parameters = state.parameters;
+    const auto until = *worker.clockMs + elapsed.count() + parameters.lease.count();
+    // A slow clock reaches that time later than ours says.
+    const auto longest = (elapsed + parameters.lease) * (100 + 2 * parameters.clockSlowPercent) / 100;
+    worker.leaseEnd = std::max(worker.leaseEnd, worker.clockAt + longest);
+    return until;
+}
+
+void onLookReport(State& state, const WorkerId& id, const LookReport& report, MonotonicTime sentAt, MonotonicTime now,
+    std::int64_t wallMs, Orders& orders)
+{
+    auto* worker = findWorker(state, id);
+    if (!worker)
+        return;
+    worker->isLookInFlight = false;
+    if (report.born < worker->born)
+        return;
+    if (report.born > worker->born)
+        onNewIncarnation(state, *worker, report.born, now, orders);
+    worker->hasSeenFence = true;
+    worker->lastAnswerAt = now;
+    worker->missedLooks = 0;
+    worker->clockMs = report.clockMs;
+    worker->clockAt = now;
+    const auto before = worker->runs;
+    for (const auto& end : report.ends) {
+        if (end.number > worker->seenEnd)
+            onEnd(state, *worker, end, now, wallMs, orders);
+    }
+    std::set<RunRef> listed;
+    for (const auto& run : report.running) {
+        listed.insert(run.run);
+        takeListed(state, *worker, run, now, orders);
+    }
+    for (const auto& ref : before) {
+        if (!listed.contains(ref) && worker->runs.contains(ref))
+            takeMissing(state, *worker, ref, sentAt, now, orders);
+    }
+    controlPace(state, *worker, now, orders);
+    const auto pause = worker->uncommittedEnds.empty() ? lookPause : uncommittedLookPause;
+    worker->nextLookAt = now + (worker->runs.empty() && worker->uncommittedEnds.empty() ? idleLookInterval : pause);
+}
+
+void onLookFailure(State& state, const WorkerId& id, LookFailure failure, MonotonicTime now)
+{
+    auto* worker = findWorker(state, id);
+    if (!worker)
+        return;
+    worker->isLookInFlight = false;
+    ++worker->missedLooks;
+    worker->nextLookAt = now + failedLookPause * std::min(worker->missedLooks, 4U);
+    if (failure == LookFailure::OtherIncarnation)
+        worker->health.avoidUntil = now + failedLookPause * 4;
+}
+
+void orderLooks(State& state, MonotonicTime now, Orders& orders)
+{
+    for (auto& [id, worker] : state.workers) {
+        const bool isReachable = !worker.address.empty() && (worker.isListed || !worker.runs.empty());
+        // An idle worker that got a task is looked at soon.
+        const bool isDue = worker.nextLookAt <= now || (!worker.runs.empty() && worker.nextLookAt > now + failedLookPause * 4);
+        if (worker.isLookInFlight || !isReachable || !isDue)
+            continue;
+        moveCursor(state, worker);
+        worker.isLookInFlight = true;
+        const bool isFirst = !worker.hasSeenFence || worker.missedLooks > 0;
+        orders.emplace_back(LookOrder { id, isFirst ? Milliseconds(0) : waitOf(worker) });
+    }
+}
+
+void checkWorkers(State& state, MonotonicTime now, Orders& orders)
+{
+    for (auto& [id, worker] : state.workers) {
+        if (worker.isDraining && worker.hasSeenFence)
+            leaveWorker(state, worker, now, orders);
+    }
+    std::erase_if(state.workers, [&](const auto& entry) {
+        const auto& worker = entry.second;
+        return !worker.isListed && worker.runs.empty() && !worker.isLookInFlight && now - worker.unlistedSince > unlistedRetention;
+    });
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Health.cpp
@@ -0,0 +1,119 @@
+#include "scheduler/Health.h"
+
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Failures of tasks of as many jobs in a row, none done between them.
+    constexpr std::size_t failuresToQuarantine = 2;
+    // Runs without progress at the same time.
+    constexpr unsigned stallsToQuarantine = 2;
+    constexpr Milliseconds quarantineTime { 3000 };
+    constexpr unsigned maxQuarantineDoublings = 2;
+    // After a single failure others are preferred for this time.
+    constexpr Milliseconds suspicionTime { 1500 };
+    // More are not put into quarantine: when so many seem to fail, the cause is elsewhere.
+    constexpr std::size_t maxQuarantinePercent = 34;
+
+    // A run whose percentage has stood still for this time, and for this share of its estimate, makes no progress.
+    constexpr Milliseconds stallTime { 1300 };
+    constexpr double stallShare = 0.08;
+    // A standing task that has not come up after this time.
+    constexpr Milliseconds standingStallTime { 4000 };
+
+    std::size_t quarantinedCount(const State& state, MonotonicTime now)
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(state.workers, [&](const auto& entry) { return entry.second.health.quarantinedUntil > now; }));
+    }
+
+    void quarantine(State& state, Worker& worker, const char* reason, MonotonicTime now, Orders& orders)
+    {
+        if (worker.health.quarantinedUntil > now)
+            return;
+        if ((quarantinedCount(state, now) + 1) * 100 > state.workers.size() * maxQuarantinePercent)
+            return;
+        const auto doublings = std::min(worker.health.quarantines++, maxQuarantineDoublings);
+        worker.health.quarantinedAt = now;
+        worker.health.quarantinedUntil = now + quarantineTime * (1 << doublings);
+        worker.health.isOnProbation = true;
+        const auto failures = static_cast<std::int64_t>(worker.health.recentFailures.size());
+        worker.health.recentFailures.clear();
+        worker.health.stalls = 0;
+        orders.emplace_back(Decision { "worker_quarantined", {}, worker.id, reason, {}, failures });
+    }
+
+    bool isStalled(const schema::StepSpecT& step, const Run& run, MonotonicTime now)
+    {
+        // A task that is paced down may rightly stand still.
+        if (run.phase != RunPhase::Running || !run.isListed || run.percent >= 100 || run.pace < 50 || run.confirmedPace < 50)
+            return false;
+        const auto still = now - run.percentChangedAt;
+        if (step.long_running)
+            return still > standingStallTime;
+        const auto share = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * stallShare);
+        return still > stallTime + share;
+    }
+
+} // namespace
+
+void noteEnd(State& state, Worker& worker, const Job& job, const Task& task, const Run&, EndKind kind, MonotonicTime now, Orders& orders)
+{
+    auto& health = worker.health;
+    if (kind == EndKind::Done) {
+        health.recentFailures.clear();
+        health.stalls = 0;
+        health.quarantines = 0;
+        health.isOnProbation = false;
+        return;
+    }
+    // A task that has failed elsewhere says more about itself than about this worker.
+    if (kind != EndKind::Failed || task.failures > 0)
+        return;
+    health.avoidUntil = now + suspicionTime;
+    if (std::ranges::find(health.recentFailures, job.id) == health.recentFailures.end())
+        health.recentFailures.push_back(job.id);
+    const std::size_t needed = health.isOnProbation ? 1 : failuresToQuarantine;
+    if (health.recentFailures.size() >= needed)
+        quarantine(state, worker, "failures", now, orders);
+}
+
+void noteStall(State& state, Worker& worker, const RunRef& ref, MonotonicTime now, Orders& orders)
+{
+    orders.emplace_back(Decision { "run_stalled", toString(ref), worker.id, "no_progress", {}, worker.health.stalls });
+    worker.health.avoidUntil = now + suspicionTime;
+    const unsigned needed = worker.health.isOnProbation ? 1 : stallsToQuarantine;
+    if (++worker.health.stalls >= needed)
+        quarantine(state, worker, "stalls", now, orders);
+}
+
+bool isTrusted(const Worker& worker, MonotonicTime now)
+{
+    if (worker.health.quarantinedUntil > now || worker.roomRefusedUntil > now)
+        return false;
+    return !worker.health.isOnProbation || std::ranges::none_of(worker.runs, [&](const RunRef&) { return worker.health.avoidUntil > now; });
+}
+
+void checkProgress(State& state, MonotonicTime now, Orders& orders)
+{
+    for (auto& [id, worker] : state.workers) {
+        // Without a fresh look the figures are old, not the progress.
+        if (now - worker.lastAnswerAt > stallTime)
+            continue;
+        const auto refs = worker.runs;
+        for (const auto& ref : refs) {
+            const auto* run = findRun(state, ref);
+            const auto* job = findJob(state, ref.task.job);
+            if (!run || !job || !isStalled(stepSpecOf(*job, ref.task.step), *run, now))
+                continue;
+            noteStall(state, worker, ref, now, orders);
+            stopRun(state, ref, StopReason::NoProgress, now, orders);
+        }
+    }
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Jobs.cpp
@@ -0,0 +1,248 @@
+#include "scheduler/Jobs.h"
+
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    Occurrence newOccurrence(const schema::GraphJobSpecT& spec)
+    {
+        Occurrence occurrence;
+        std::ranges::transform(spec.steps, std::back_inserter(occurrence.steps), [](const auto& stepSpec) {
+            Step step;
+            step.tasks.resize(stepSpec->count);
+            step.isOpen = stepSpec->after.empty();
+            return step;
+        });
+        return occurrence;
+    }
+
+    bool isStepDone(const Step& step) { return step.doneCount == step.tasks.size(); }
+
+    void openSteps(const schema::GraphJobSpecT& spec, Occurrence& occurrence)
+    {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            const auto& after = spec.steps[i]->after;
+            occurrence.steps[i].isOpen = std::ranges::all_of(after, [&](auto earlier) { return isStepDone(occurrence.steps[earlier]); });
+        }
+        occurrence.doneSteps = static_cast<std::size_t>(std::ranges::count_if(occurrence.steps, isStepDone));
+    }
+
+    bool isOccurrenceDone(const Occurrence& occurrence) { return occurrence.doneSteps == occurrence.steps.size(); }
+
+    std::uint32_t occurrencesOf(const schema::GraphJobSpecT& spec) { return std::max(spec.repeat_count, 1U); }
+
+    std::int64_t dueWallMs(const schema::GraphJobSpecT& spec, std::uint32_t occurrence)
+    {
+        return spec.repeat_count == 0 ? 0 : spec.start_at_ms + static_cast<std::int64_t>(occurrence) * spec.period_ms;
+    }
+
+    void applyTaskRecord(State& state, Job& job, const schema::TaskProgressT& record, MonotonicTime now)
+    {
+        const TaskRef ref { job.id, record.occurrence, record.step, record.index };
+        auto* task = findTask(state, ref);
+        if (!task)
+            return;
+        task->isDone = record.done;
+        task->lastRun = RunNumber(record.last_run);
+        task->failures = record.failures;
+        task->checkpoint = record.checkpoint;
+        for (const auto& runRecord : record.runs) {
+            Run run;
+            run.number = RunNumber(runRecord->number);
+            run.worker = WorkerId(runRecord->worker);
+            run.born = Born(runRecord->born_ms);
+            run.phase = RunPhase::Unverified;
+            run.createdAt = now;
+            run.percentChangedAt = now;
+            task->runs.push_back(run);
+            reserve(state, { ref, run.number }, run.worker);
+        }
+    }
+
+    void applyProgress(State& state, Job& job, const schema::GraphJobProgressT& progress, MonotonicTime now)
+    {
+        job.state = progress.state;
+        for (const auto& record : progress.tasks) {
+            while (job.openedOccurrences <= record->occurrence)
+                job.occurrences.emplace(job.openedOccurrences++, newOccurrence(*job.spec));
+            applyTaskRecord(state, job, *record, now);
+        }
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (auto& step : occurrence.steps)
+                step.doneCount = static_cast<std::size_t>(std::ranges::count_if(step.tasks, &Task::isDone));
+            openSteps(*job.spec, occurrence);
+            job.doneOccurrences += isOccurrenceDone(occurrence) ? 1 : 0;
+        }
+    }
+
+    bool differsFromStart(const Task& task) { return task.isDone || task.lastRun.value() > 0; }
+
+    std::unique_ptr<schema::TaskProgressT> recordOf(const TaskRef& ref, const Task& task)
+    {
+        auto record = std::make_unique<schema::TaskProgressT>();
+        record->occurrence = ref.occurrence;
+        record->step = ref.step;
+        record->index = ref.index;
+        record->done = task.isDone;
+        record->last_run = task.lastRun.value();
+        record->failures = task.failures;
+        record->checkpoint = task.checkpoint;
+        std::ranges::transform(task.runs, std::back_inserter(record->runs), [](const Run& run) {
+            auto runRecord = std::make_unique<schema::RunRecordT>();
+            runRecord->number = run.number.value();
+            runRecord->worker = run.worker.value();
+            runRecord->born_ms = run.born.value();
+            return runRecord;
+        });
+        return record;
+    }
+
+    bool hasStarted(const Job& job) { return job.state != schema::JobState::Queued; }
+
+} // namespace
+
+Milliseconds longestChain(const schema::GraphJobSpecT& spec)
+{
+    std::vector<Milliseconds> ends;
+    Milliseconds longest { 0 };
+    for (const auto& step : spec.steps) {
+        Milliseconds start { 0 };
+        for (const auto earlier : step->after)
+            start = std::max(start, earlier < ends.size() ? ends[earlier] : Milliseconds { 0 });
+        ends.push_back(start + Milliseconds(step->estimate_ms));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+Job* addJob(State& state, std::shared_ptr<const schema::GraphJobSpecT> spec, const schema::GraphJobProgressT* progress,
+    Revision recordRevision, MonotonicTime now, std::int64_t wallMs)
+{
+    const GraphJobId id(spec->job);
+    if (const auto known = state.jobs.find(id); known != state.jobs.end())
+        return nullptr;
+    auto& job = state.jobs[id];
+    job.id = id;
+    job.queue = QueueName(spec->queue);
+    job.spec = std::move(spec);
+    job.recordRevision = recordRevision;
+    job.arrivedAt = now;
+    const auto age = std::clamp(Milliseconds(wallMs - job.spec->accepted_at_ms), Milliseconds(0), Milliseconds(60'000));
+    const auto& policy = policyOf(state, job);
+    const auto work = std::chrono::duration_cast<Milliseconds>(longestChain(*job.spec) * policy.stretch);
+    job.dueAt = now - age + work + Milliseconds(policy.target_duration_ms);
+    state.active.insert(id);
+    if (progress)
+        applyProgress(state, job, *progress, now);
+    openDueOccurrences(state, job, now, wallMs);
+    job.hasWaitingTasks = true;
+    return &job;
+}
+
+void addEndedJob(State& state, const schema::GraphJobProgressT& progress, Revision recordRevision, MonotonicTime now, std::int64_t wallMs)
+{
+    const GraphJobId id(progress.job);
+    auto& job = state.jobs[id];
+    job.id = id;
+    job.queue = QueueName(progress.queue);
+    job.state = progress.state;
+    job.recordRevision = recordRevision;
+    job.endedWallMs = progress.ended_at_ms;
+    const auto age = std::clamp(Milliseconds(wallMs - progress.ended_at_ms), Milliseconds(0), state.parameters.jobRetention);
+    job.endedAt = now - age;
+}
+
+bool openDueOccurrences(State& state, Job& job, MonotonicTime now, std::int64_t wallMs)
+{
+    if (hasEnded(job))
+        return false;
+    bool hasOpened = false;
+    while (job.openedOccurrences < occurrencesOf(*job.spec) && dueWallMs(*job.spec, job.openedOccurrences) <= wallMs) {
+        job.occurrences.emplace(job.openedOccurrences++, newOccurrence(*job.spec));
+        hasOpened = true;
+    }
+    if (hasOpened && job.spec->repeat_count > 0) {
+        const auto work = std::chrono::duration_cast<Milliseconds>(longestChain(*job.spec) * policyOf(state, job).stretch);
+        job.dueAt = now + work + Milliseconds(policyOf(state, job).target_duration_ms);
+    }
+    job.hasWaitingTasks = job.hasWaitingTasks || hasOpened;
+    return hasOpened;
+}
+
+void finishTask(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
+{
+    auto& occurrence = job.occurrences.at(ref.occurrence);
+    auto& step = occurrence.steps[ref.step];
+    auto& task = step.tasks[ref.index];
+    if (task.isDone)
+        return;
+    task.isDone = true;
+    ++step.doneCount;
+    if (!isStepDone(step))
+        return markDirty(state, job, now, false);
+    openSteps(*job.spec, occurrence);
+    job.hasWaitingTasks = true;
+    if (isOccurrenceDone(occurrence))
+        ++job.doneOccurrences;
+    if (job.doneOccurrences == occurrencesOf(*job.spec))
+        endJob(state, job, schema::JobState::Completed, now, wallMs);
+    else
+        markDirty(state, job, now, false);
+}
+
+void endJob(State& state, Job& job, schema::JobState outcome, MonotonicTime now, std::int64_t wallMs)
+{
+    job.state = outcome;
+    job.endedAt = now;
+    job.endedWallMs = wallMs;
+    job.hasWaitingTasks = false;
+    markDirty(state, job, now, true);
+}
+
+schema::GraphJobProgressT progressOf(const Job& job)
+{
+    schema::GraphJobProgressT progress;
+    progress.job = job.id.value();
+    progress.queue = job.queue.value();
+    progress.state = job.state;
+    progress.ended_at_ms = job.endedWallMs;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                // Of an ended job only the runs matter that may still exist.
+                const bool isKept = hasEnded(job) ? !tasks[index].runs.empty() : differsFromStart(tasks[index]);
+                if (isKept)
+                    progress.tasks.push_back(recordOf({ job.id, number, step, index }, tasks[index]));
+            }
+        }
+    }
+    return progress;
+}
+
+std::size_t pendingJobs(const State& state, const QueueName& queue, MonotonicTime, std::int64_t wallMs)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(state.active, [&](const GraphJobId& id) {
+        const auto& job = state.jobs.at(id);
+        return job.queue == queue && !hasStarted(job) && dueWallMs(*job.spec, 0) <= wallMs;
+    }));
+}
+
+std::vector<GraphJobId> expiredJobs(const State& state, MonotonicTime now, std::size_t limit)
+{
+    std::vector<GraphJobId> expired;
+    for (const auto& [id, job] : state.jobs) {
+        if (expired.size() >= limit)
+            break;
+        const bool isIdle = !state.active.contains(id) && !state.dirty.contains(id) && !job.isCommitInFlight;
+        if (isIdle && job.endedAt && *job.endedAt + state.parameters.jobRetention < now)
+            expired.push_back(id);
+    }
+    return expired;
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Model.cpp
@@ -0,0 +1,123 @@
+#include "scheduler/Model.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace kingcuploom::scheduler {
+
+std::string toString(const RunRef& ref)
+{
+    return ref.task.job.value() + '.' + std::to_string(ref.task.occurrence) + '.' + std::to_string(ref.task.step) + '.'
+        + std::to_string(ref.task.index) + '/' + std::to_string(ref.run.value());
+}
+
+const char* toString(StopReason reason)
+{
+    switch (reason) {
+    case StopReason::None:
+        return "none";
+    case StopReason::JobEnded:
+        return "job_ended";
+    case StopReason::CopyFinished:
+        return "copy_finished";
+    case StopReason::NoProgress:
+        return "no_progress";
+    case StopReason::WorkerLeaving:
+        return "worker_leaving";
+    case StopReason::StartUnclear:
+        return "start_unclear";
+    case StopReason::TooSlow:
+        break;
+    }
+    return "too_slow";
+}
+
+Amounts& Amounts::operator+=(const Amounts& other)
+{
+    cpuMillis += other.cpuMillis;
+    memoryMb += other.memoryMb;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+Amounts& Amounts::operator-=(const Amounts& other)
+{
+    cpuMillis -= other.cpuMillis;
+    memoryMb -= other.memoryMb;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool Amounts::fitsInto(const Amounts& room) const
+{
+    return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+}
+
+const schema::QueuePolicyT& policyOf(const State& state, const Job& job)
+{
+    const auto it = state.queues.find(job.queue);
+    return it == state.queues.end() ? *job.spec->policy : it->second;
+}
+
+const schema::StepSpecT& stepSpecOf(const Job& job, std::uint32_t step) { return *job.spec->steps[step]; }
+
+Job* findJob(State& state, const GraphJobId& id)
+{
+    const auto it = state.jobs.find(id);
+    return it == state.jobs.end() ? nullptr : &it->second;
+}
+
+Worker* findWorker(State& state, const WorkerId& id)
+{
+    const auto it = state.workers.find(id);
+    return it == state.workers.end() ? nullptr : &it->second;
+}
+
+Task* findTask(State& state, const TaskRef& ref)
+{
+    auto* job = findJob(state, ref.job);
+    if (!job)
+        return nullptr;
+    const auto it = job->occurrences.find(ref.occurrence);
+    if (it == job->occurrences.end() || ref.step >= it->second.steps.size())
+        return nullptr;
+    auto& tasks = it->second.steps[ref.step].tasks;
+    return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+}
+
+Run* findRun(State& state, const RunRef& ref)
+{
+    auto* task = findTask(state, ref.task);
+    if (!task)
+        return nullptr;
+    const auto it = std::ranges::find(task->runs, ref.run, &Run::number);
+    return it == task->runs.end() ? nullptr : &*it;
+}
+
+bool hasEnded(const Job& job)
+{
+    return job.state == schema::JobState::Completed || job.state == schema::JobState::Failed || job.state == schema::JobState::Cancelled;
+}
+
+std::size_t countRuns(const Job& job)
+{
+    std::size_t count = 0;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            count += std::accumulate(step.tasks.begin(), step.tasks.end(), std::size_t { 0 },
+                [](std::size_t sum, const Task& task) { return sum + task.runs.size(); });
+        }
+    }
+    return count;
+}
+
+void markDirty(State& state, Job& job, MonotonicTime now, bool isUrgent)
+{
+    if (job.version == job.committed || job.isCommitInFlight)
+        job.dirtySince = now;
+    job.version = job.version.next();
+    job.isUrgent = job.isUrgent || isUrgent;
+    state.dirty.insert(job.id);
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Placement.cpp
@@ -0,0 +1,262 @@
+#include "scheduler/Placement.h"
+
+#include "scheduler/Health.h"
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Share of their size that serving tasks use on average, percent. The rest is what filling tasks can have.
+    constexpr std::int64_t servingUsePercent = 55;
+    // Weights of the score of a worker; the share of its processors that is left over counts 1.
+    constexpr double pressureWeight = 0.8;
+    constexpr double paceWeight = 0.7;
+    constexpr double suspicionWeight = 2.0;
+    constexpr double farWeight = 1.5;
+    constexpr double rackWeight = 0.05;
+    // A worker that has not answered for this time gets no task.
+    constexpr Milliseconds silenceLimit { 2800 };
+    // A copy is started when a run has taken this much of its estimate, and a little more.
+    constexpr double copyAfterShare = 1.6;
+    constexpr Milliseconds copyAfter { 400 };
+
+    struct Candidate {
+        Worker* worker = nullptr;
+        double score = 0;
+    };
+
+    bool hasLabel(const Worker& worker, const std::string& label)
+    {
+        return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
+    }
+
+    std::size_t runsOfStepOn(const Worker& worker, const TaskRef& task)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(worker.runs, [&](const RunRef& it) {
+            return it.task.job == task.job && it.task.occurrence == task.occurrence && it.task.step == task.step;
+        }));
+    }
+
+    Amounts needOf(const schema::StepSpecT& step) { return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators }; }
+
+    bool hasRoom(const Worker& worker, const schema::StepSpecT& step)
+    {
+        auto sum = worker.reserved;
+        sum += needOf(step);
+        return sum.fitsInto(worker.capacity);
+    }
+
+    bool isOpen(const State& state, const Worker& worker, MonotonicTime now)
+    {
+        const bool isAnswering = worker.missedLooks == 0 && (now - worker.lastAnswerAt < silenceLimit || worker.runs.empty());
+        return worker.isListed && worker.hasSeenFence && !worker.isDraining && isAnswering && !state.closedDomains.contains(worker.domain)
+            && isTrusted(worker, now);
+    }
+
+    bool mayRun(const State& state, const Worker& worker, const ServiceName& service, const schema::StepSpecT& step, const TaskRef& ref,
+        MonotonicTime now)
+    {
+        if (worker.service != service || !isOpen(state, worker, now) || !hasRoom(worker, step) || !hasLabel(worker, step.required_label))
+            return false;
+        return step.max_per_worker == 0 || runsOfStepOn(worker, ref) < step.max_per_worker;
+    }
+
+    double leftOver(const Worker& worker, const schema::StepSpecT& step)
+    {
+        const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
+        const auto used = others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis + step.cpu_millis;
+        return static_cast<double>(worker.capacity.cpuMillis - used) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
+    }
+
+    double scoreOf(const Worker& worker, const schema::StepSpecT& step, const Task& task, MonotonicTime now)
+    {
+        auto score = leftOver(worker, step);
+        if (step.fills) {
+            score -= pressureWeight * std::max(0, worker.servingPressure - 50) / 100.0;
+            score -= paceWeight * (100 - worker.fillPace) / 100.0;
+        }
+        if (worker.health.avoidUntil > now)
+            score -= suspicionWeight;
+        if (std::ranges::find(task.failedOn, worker.id) != task.failedOn.end())
+            score -= suspicionWeight;
+        if (!step.affinity_rack.empty() && worker.rack.value() != step.affinity_rack)
+            score -= farWeight;
+        return score;
+    }
+
+    Worker* chooseWorker(State& state, const Job& job, const TaskRef& ref, const Task& task, MonotonicTime now, const Rack* rack = nullptr)
+    {
+        const auto& step = stepSpecOf(job, ref.step);
+        const ServiceName service(policyOf(state, job).service);
+        Candidate best { nullptr, -std::numeric_limits<double>::infinity() };
+        for (auto& [id, worker] : state.workers) {
+            if ((rack && worker.rack != *rack) || !mayRun(state, worker, service, step, ref, now))
+                continue;
+            const bool hasCopy = std::ranges::any_of(task.runs, [&](const Run& run) { return run.worker == id; });
+            if (hasCopy)
+                continue;
+            const auto score = scoreOf(worker, step, task, now);
+            if (score > best.score)
+                best = { &worker, score };
+        }
+        return best.worker;
+    }
+
+    void addRun(State& state, Job& job, const TaskRef& ref, Task& task, RunNumber number, Worker& worker, MonotonicTime now, Orders& orders)
+    {
+        Run run;
+        run.number = number;
+        run.worker = worker.id;
+        run.born = worker.born;
+        run.createdAt = now;
+        run.percentChangedAt = now;
+        task.lastRun = number;
+        markDirty(state, job, now, true);
+        run.recordedBy = job.version;
+        task.runs.push_back(run);
+        reserve(state, { ref, number }, worker.id);
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt);
+        const auto room = worker.capacity.cpuMillis - worker.reserved.cpuMillis;
+        orders.emplace_back(Decision { "run_placed", toString(RunRef { ref, number }), worker.id, "score", age, room });
+    }
+
+    bool isWaiting(const Task& task) { return !task.isDone && task.runs.empty(); }
+
+    // All members start together, with one number and one checkpoint.
+    bool placeGang(State& state, Job& job, std::uint32_t occurrence, std::uint32_t stepNumber, MonotonicTime now, Orders& orders)
+    {
+        auto& step = job.occurrences.at(occurrence).steps[stepNumber];
+        const auto& spec = stepSpecOf(job, stepNumber);
+        if (!std::ranges::all_of(step.tasks, [&](const Task& task) { return isWaiting(task) && task.notBefore <= now; }))
+            return false;
+        const auto newest = std::ranges::max_element(step.tasks, {}, &Task::lastRun)->lastRun.next();
+        const auto saved = std::ranges::find_if(step.tasks, [](const Task& task) { return !task.checkpoint.empty(); });
+        const auto checkpoint = saved == step.tasks.end() ? std::string() : saved->checkpoint;
+        std::set<Rack> racks;
+        for (const auto& [id, worker] : state.workers)
+            racks.insert(spec.same_rack ? worker.rack : Rack());
+        for (const auto& rack : racks) {
+            std::vector<std::pair<TaskRef, WorkerId>> chosen;
+            for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+                const TaskRef ref { job.id, occurrence, stepNumber, index };
+                auto* worker = chooseWorker(state, job, ref, step.tasks[index], now, spec.same_rack ? &rack : nullptr);
+                if (!worker)
+                    break;
+                // Counted at once, so that the next member sees the room that is left.
+                reserve(state, { ref, newest }, worker->id);
+                chosen.emplace_back(ref, worker->id);
+            }
+            std::ranges::for_each(chosen, [&](const auto& it) { unreserve(state, { it.first, newest }, it.second); });
+            if (chosen.size() < step.tasks.size())
+                continue;
+            for (const auto& [ref, id] : chosen) {
+                step.tasks[ref.index].checkpoint = checkpoint;
+                addRun(state, job, ref, step.tasks[ref.index], newest, state.workers.at(id), now, orders);
+            }
+            return true;
+        }
+        return false;
+    }
+
+    // Returns true while tasks are left to be placed.
+    bool placeStep(State& state, Job& job, std::uint32_t occurrence, std::uint32_t stepNumber, MonotonicTime now, Orders& orders)
+    {
+        auto& step = job.occurrences.at(occurrence).steps[stepNumber];
+        if (!step.isOpen || step.doneCount == step.tasks.size())
+            return false;
+        if (stepSpecOf(job, stepNumber).gang) {
+            const bool isWaitingGang = std::ranges::any_of(step.tasks, isWaiting);
+            return isWaitingGang && !placeGang(state, job, occurrence, stepNumber, now, orders);
+        }
+        bool isLeft = false;
+        for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+            auto& task = step.tasks[index];
+            if (!isWaiting(task))
+                continue;
+            if (task.notBefore > now) {
+                isLeft = true;
+                continue;
+            }
+            const TaskRef ref { job.id, occurrence, stepNumber, index };
+            auto* worker = chooseWorker(state, job, ref, task, now);
+            // The other tasks of the step need the same.
+            if (!worker)
+                return true;
+            addRun(state, job, ref, task, task.lastRun.next(), *worker, now, orders);
+        }
+        return isLeft;
+    }
+
+    void placeJob(State& state, Job& job, MonotonicTime now, Orders& orders)
+    {
+        bool isLeft = false;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step)
+                isLeft = placeStep(state, job, number, step, now, orders) || isLeft;
+        }
+        job.hasWaitingTasks = isLeft;
+    }
+
+    bool needsCopy(const State& state, const schema::StepSpecT& step, const Task& task, MonotonicTime now)
+    {
+        if (!step.speculative || task.isDone || task.runs.size() != 1)
+            return false;
+        const auto& run = task.runs.front();
+        const auto& worker = state.workers.at(run.worker);
+        if (run.phase == RunPhase::Recording || run.phase == RunPhase::Unverified)
+            return false;
+        const auto limit = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * copyAfterShare) + copyAfter;
+        return worker.missedLooks > 0 || run.phase == RunPhase::Stopping || run.startTries > 0 || now - run.createdAt > limit;
+    }
+
+} // namespace
+
+void placeWaiting(State& state, MonotonicTime now, Orders& orders)
+{
+    std::vector<Job*> waiting;
+    for (const auto& id : state.active) {
+        auto& job = state.jobs.at(id);
+        if (job.hasWaitingTasks && !hasEnded(job) && !job.isCancelRequested)
+            waiting.push_back(&job);
+    }
+    std::ranges::sort(waiting, {}, [&](const Job* job) { return std::tuple(policyOf(state, *job).priority, job->dueAt, job->id); });
+    std::ranges::for_each(waiting, [&](Job* job) { placeJob(state, *job, now, orders); });
+}
+
+void placeCopies(State& state, MonotonicTime now, Orders& orders)
+{
+    for (const auto& id : state.active) {
+        auto& job = state.jobs.at(id);
+        if (hasEnded(job) || job.isCancelRequested)
+            continue;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto& spec = stepSpecOf(job, step);
+                if (!spec.speculative || !occurrence.steps[step].isOpen)
+                    continue;
+                auto& tasks = occurrence.steps[step].tasks;
+                for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                    if (!needsCopy(state, spec, tasks[index], now))
+                        continue;
+                    const TaskRef ref { id, number, step, index };
+                    if (auto* worker = chooseWorker(state, job, ref, tasks[index], now))
+                        addRun(state, job, ref, tasks[index], tasks[index].lastRun.next(), *worker, now, orders);
+                }
+            }
+        }
+    }
+}
+
+bool fitsFleet(const State& state, const ServiceName& service, const schema::StepSpecT& step)
+{
+    return std::ranges::any_of(state.workers, [&](const auto& entry) {
+        const auto& worker = entry.second;
+        return worker.service == service && needOf(step).fitsInto(worker.capacity) && hasLabel(worker, step.required_label);
+    });
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Runs.cpp
@@ -0,0 +1,403 @@
+#include "scheduler/Runs.h"
+
+#include "scheduler/Health.h"
+#include "scheduler/Jobs.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Pause before a task is placed again after its worker refused or lost it; spares a busy fleet repeated orders.
+    constexpr Milliseconds retryPause { 50 };
+    // Pause before a worker that had less room than assumed is tried again.
+    constexpr Milliseconds roomPause { 400 };
+    // Pause before a worker that did not take an order is tried again.
+    constexpr Milliseconds unhealthyPause { 1500 };
+    // Repetitions of a start without an answer, on new connections, before its stop is ordered.
+    constexpr unsigned maxStartTries = 2;
+    // Between two sendings of an order without an answer.
+    constexpr Milliseconds repeatPause { 100 };
+    // A failing standing task is restarted after a pause that doubles up to this time.
+    constexpr Milliseconds maxCrashPause { 1000 };
+
+    Amounts amountsOf(const schema::StepSpecT& step)
+    {
+        // Filling tasks use processors that others leave unused, and reserve none.
+        return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators };
+    }
+
+    void countShares(Worker& worker, const schema::StepSpecT& step, std::int64_t sign)
+    {
+        if (step.fills)
+            worker.fillingCpuMillis += sign * step.cpu_millis;
+        else if (step.long_running)
+            worker.servingCpuMillis += sign * step.cpu_millis;
+    }
+
+    void failTask(State& state, Job& job, const TaskRef& ref, const Run& run, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+    {
+        auto& step = job.occurrences.at(ref.occurrence).steps[ref.step];
+        auto& task = step.tasks[ref.index];
+        const auto& spec = stepSpecOf(job, ref.step);
+        const bool isNewGangFailure = !spec.gang || run.number.value() > step.gangFailures;
+        ++task.failures;
+        if (spec.gang && isNewGangFailure)
+            step.gangFailures = run.number.value();
+        task.failedOn.push_back(run.worker);
+        const auto maxAttempts = std::max(policyOf(state, job).max_attempts, 1U);
+        if (spec.long_running) {
+            const auto pause = std::min(maxCrashPause, Milliseconds(25) * (1 << std::min(task.failures, 8U)));
+            // The first restart is at once: a standing task may fail at any time.
+            task.notBefore = task.failures <= 3 ? now : now + pause;
+            return;
+        }
+        if (task.failures < maxAttempts)
+            return;
+        orders.emplace_back(Decision { "job_failed", toString({ ref, run.number }), run.worker, "max_attempts", {}, task.failures });
+        endJob(state, job, schema::JobState::Failed, now, wallMs);
+        stopRunsOf(state, job, StopReason::JobEnded, now, orders);
+    }
+
+    void finishGang(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
+    {
+        // One end represents all members. The others are about to end in the same way, so their runs are left to be listed as ended.
+        const auto count = job.occurrences.at(ref.occurrence).steps[ref.step].tasks.size();
+        for (std::uint32_t index = 0; index < count; ++index)
+            finishTask(state, job, { ref.job, ref.occurrence, ref.step, index }, now, wallMs);
+    }
+
+    void stopCopies(State& state, const TaskRef& ref, MonotonicTime now, Orders& orders)
+    {
+        const auto* task = findTask(state, ref);
+        std::vector<RunNumber> numbers;
+        std::ranges::transform(task->runs, std::back_inserter(numbers), &Run::number);
+        std::ranges::for_each(numbers, [&](RunNumber number) { stopRun(state, { ref, number }, StopReason::CopyFinished, now, orders); });
+    }
+
+    void takeDone(State& state, Job& job, const RunRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+    {
+        if (stepSpecOf(job, ref.task.step).gang)
+            return finishGang(state, job, ref.task, now, wallMs);
+        finishTask(state, job, ref.task, now, wallMs);
+        stopCopies(state, ref.task, now, orders);
+    }
+
+    void refuseStart(State& state, const RunRef& ref, MonotonicTime now, Milliseconds pause)
+    {
+        if (auto* task = findTask(state, ref.task))
+            task->notBefore = std::max(task->notBefore, now + pause);
+        releaseRun(state, ref, now);
+    }
+
+    void releaseIfGone(State& state, const RunRef& ref, const Run& run, const Worker& worker, MonotonicTime now, Orders& orders)
+    {
+        orders.emplace_back(Decision { "run_lapsed", toString(ref), worker.id, "lease_over",
+            std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt), run.percent });
+        releaseRun(state, ref, now);
+    }
+
+    void repeatStart(State& state, const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
+    {
+        if (run.startTries >= maxStartTries)
+            return stopRun(state, ref, StopReason::StartUnclear, now, orders);
+        ++run.startTries;
+        run.orderedAt = now;
+        run.isOrderInFlight = true;
+        orders.emplace_back(StartOrder { ref, run.worker, true });
+    }
+
+    void repeatStop(const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
+    {
+        run.orderedAt = now;
+        run.isOrderInFlight = true;
+        orders.emplace_back(StopOrder { ref, run.worker, run.stopReason });
+    }
+
+    void checkRun(State& state, const RunRef& ref, Worker& worker, MonotonicTime now, Orders& orders)
+    {
+        auto* run = findRun(state, ref);
+        if (!run || run->phase == RunPhase::Recording)
+            return;
+        const bool isUnneeded = hasEnded(*findJob(state, ref.task.job)) || findTask(state, ref.task)->isDone;
+        if (run->phase == RunPhase::Running && isUnneeded)
+            stopRun(state, ref, StopReason::JobEnded, now, orders);
+        const bool isSent = run->phase != RunPhase::Unverified;
+        const auto oldLeaderEnd = state.termStartedAt + state.parameters.storeSilenceLimit
+            + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100;
+        // A run of an earlier leader may have been held by it; a worker that has not answered may still run it.
+        const auto end = isSent && worker.hasSeenFence ? worker.leaseEnd : std::max(worker.leaseEnd, oldLeaderEnd);
+        if (now > end)
+            return releaseIfGone(state, ref, *run, worker, now, orders);
+        if (run->isOrderInFlight || now - run->orderedAt < repeatPause)
+            return;
+        if (run->phase == RunPhase::Starting)
+            repeatStart(state, ref, *run, now, orders);
+        else if (run->phase == RunPhase::Stopping && !run->stopConfirmedAt)
+            repeatStop(ref, *run, now, orders);
+    }
+
+} // namespace
+
+const char* toString(StartResult result)
+{
+    switch (result) {
+    case StartResult::Started:
+        return "started";
+    case StartResult::Fenced:
+        return "fenced";
+    case StartResult::Old:
+        return "old";
+    case StartResult::Late:
+        return "late";
+    case StartResult::NoRoom:
+        return "no_room";
+    case StartResult::Unhealthy:
+        return "unhealthy";
+    case StartResult::Refused:
+        return "refused";
+    case StartResult::NotSent:
+        return "not_sent";
+    case StartResult::NoAnswer:
+        break;
+    }
+    return "no_answer";
+}
+
+const char* toString(EndKind kind)
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::Lapsed:
+        return "lapsed";
+    case EndKind::Broken:
+        return "broken";
+    case EndKind::Alone:
+        break;
+    }
+    return "alone";
+}
+
+void reserve(State& state, const RunRef& ref, const WorkerId& id)
+{
+    const auto* job = findJob(state, ref.task.job);
+    auto& worker = state.workers[id];
+    worker.id = id;
+    if (!job || !worker.runs.insert(ref).second)
+        return;
+    const auto& step = stepSpecOf(*job, ref.task.step);
+    worker.reserved += amountsOf(step);
+    countShares(worker, step, 1);
+}
+
+void unreserve(State& state, const RunRef& ref, const WorkerId& id)
+{
+    const auto* job = findJob(state, ref.task.job);
+    auto* worker = findWorker(state, id);
+    if (!job || !worker || worker->runs.erase(ref) == 0)
+        return;
+    const auto& step = stepSpecOf(*job, ref.task.step);
+    worker->reserved -= amountsOf(step);
+    countShares(*worker, step, -1);
+}
+
+void releaseRun(State& state, const RunRef& ref, MonotonicTime now)
+{
+    auto* job = findJob(state, ref.task.job);
+    auto* task = findTask(state, ref.task);
+    const auto* run = findRun(state, ref);
+    if (!job || !task || !run)
+        return;
+    unreserve(state, ref, run->worker);
+    std::erase_if(task->runs, [&](const Run& it) { return it.number == ref.run; });
+    if (!hasEnded(*job) && !task->isDone)
+        job->hasWaitingTasks = true;
+    // The last run of an ended job lets its record shrink.
+    markDirty(state, *job, now, false);
+}
+
+void stopRun(State& state, const RunRef& ref, StopReason reason, MonotonicTime now, Orders& orders)
+{
+    auto* run = findRun(state, ref);
+    if (!run || run->phase == RunPhase::Stopping)
+        return;
+    if (run->phase == RunPhase::Recording)
+        return releaseRun(state, ref, now);
+    run->stopReason = reason;
+    // An earlier leader's run: the worker is asked first whether it exists.
+    if (run->phase == RunPhase::Unverified && reason != StopReason::JobEnded)
+        return;
+    run->phase = RunPhase::Stopping;
+    const auto* worker = findWorker(state, run->worker);
+    const auto age = worker ? std::chrono::duration_cast<Milliseconds>(now - worker->lastAnswerAt) : Milliseconds(0);
+    orders.emplace_back(Decision { "run_stop", toString(ref), run->worker, toString(reason), age, run->percent });
+    repeatStop(ref, *run, now, orders);
+}
+
+void stopRunsOf(State& state, const Job& job, StopReason reason, MonotonicTime now, Orders& orders)
+{
+    std::vector<RunRef> refs;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                for (const auto& run : tasks[index].runs)
+                    refs.push_back({ { job.id, number, step, index }, run.number });
+            }
+        }
+    }
+    std::ranges::for_each(refs, [&](const RunRef& ref) { stopRun(state, ref, reason, now, orders); });
+}
+
+void onStartResult(State& state, const RunRef& ref, StartResult result, MonotonicTime now, Orders& orders)
+{
+    auto* run = findRun(state, ref);
+    if (!run)
+        return;
+    run->isOrderInFlight = false;
+    auto* worker = findWorker(state, run->worker);
+    if (run->phase != RunPhase::Starting) {
+        // A stop was ordered meanwhile; it settles what became of the run.
+        if (result == StartResult::Started)
+            run->startConfirmedAt = now;
+        return;
+    }
+    if (result != StartResult::Started)
+        orders.emplace_back(Decision { "start_refused", toString(ref), run->worker, toString(result), {}, run->startTries });
+    switch (result) {
+    case StartResult::Started: {
+        run->phase = RunPhase::Running;
+        run->startConfirmedAt = now;
+        run->percentChangedAt = now;
+        if (worker)
+            worker->lastAnswerAt = now;
+        auto* job = findJob(state, ref.task.job);
+        if (job->state == schema::JobState::Queued)
+            job->state = schema::JobState::Running;
+        return;
+    }
+    case StartResult::NoRoom:
+        if (worker)
+            worker->roomRefusedUntil = now + roomPause;
+        return refuseStart(state, ref, now, Milliseconds(0));
+    case StartResult::Unhealthy:
+    case StartResult::NotSent:
+        if (worker)
+            worker->health.avoidUntil = now + unhealthyPause;
+        // An earlier try of the order may have arrived.
+        if (run->startTries > 0)
+            return stopRun(state, ref, StopReason::StartUnclear, now, orders);
+        return refuseStart(state, ref, now, Milliseconds(0));
+    case StartResult::Refused:
+        if (worker)
+            worker->health.avoidUntil = now + unhealthyPause;
+        return stopRun(state, ref, StopReason::StartUnclear, now, orders);
+    case StartResult::Fenced:
+    case StartResult::Old:
+    case StartResult::Late:
+        if (run->startTries > 0)
+            return stopRun(state, ref, StopReason::StartUnclear, now, orders);
+        return refuseStart(state, ref, now, retryPause);
+    case StartResult::NoAnswer:
+        run->orderedAt = now - repeatPause;
+        return repeatStart(state, ref, *run, now, orders);
+    }
+}
+
+void onStopResult(State& state, const RunRef& ref, const WorkerId&, StopResult result, MonotonicTime now)
+{
+    auto* run = findRun(state, ref);
+    if (!run || run->phase != RunPhase::Stopping)
+        return;
+    run->isOrderInFlight = false;
+    run->orderedAt = now;
+    if (result == StopResult::Accepted)
+        run->stopConfirmedAt = now;
+}
+
+namespace {
+
+    void takeEnd(State& state, Worker& worker, const ListedEnd& end, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+    {
+        auto* job = findJob(state, end.run.task.job);
+        auto* task = findTask(state, end.run.task);
+        const auto* found = findRun(state, end.run);
+        // Otherwise of a run that was released when its lease had ended, or of a forgotten job.
+        const bool isOurs = found && found->worker == worker.id;
+        if (!job || !task || !isOurs)
+            return;
+        const Run run = *found;
+        if (!end.checkpoint.empty())
+            task->checkpoint = end.checkpoint;
+        releaseRun(state, end.run, now);
+        noteEnd(state, worker, *job, *task, run, end.kind, now, orders);
+        if (hasEnded(*job) || task->isDone)
+            return;
+        if (end.kind == EndKind::Done && !stepSpecOf(*job, end.run.task.step).long_running)
+            takeDone(state, *job, end.run, now, wallMs, orders);
+        else if (end.kind == EndKind::Failed)
+            failTask(state, *job, end.run.task, run, now, wallMs, orders);
+    }
+
+} // namespace
+
+void onEnd(State& state, Worker& worker, const ListedEnd& end, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+{
+    takeEnd(state, worker, end, now, wallMs, orders);
+    const auto* job = findJob(state, end.run.task.job);
+    worker.seenEnd = end.number;
+    worker.uncommittedEnds.push_back({ end.number, end.run.task.job, job ? job->version : ProgressVersion() });
+}
+
+void moveCursor(State& state, Worker& worker)
+{
+    while (!worker.uncommittedEnds.empty()) {
+        const auto& first = worker.uncommittedEnds.front();
+        const auto* job = findJob(state, first.job);
+        if (job && job->committed < first.neededVersion)
+            return;
+        worker.committedEnd = first.number;
+        worker.uncommittedEnds.pop_front();
+    }
+}
+
+void onCommitted(State& state, const GraphJobId& id, ProgressVersion version, Revision recordRevision, MonotonicTime now, Orders& orders)
+{
+    auto* job = findJob(state, id);
+    if (!job)
+        return;
+    job->committed = version;
+    job->recordRevision = recordRevision;
+    job->isCommitInFlight = false;
+    for (auto& [number, occurrence] : job->occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                for (auto& run : tasks[index].runs) {
+                    if (run.phase != RunPhase::Recording || run.recordedBy > version)
+                        continue;
+                    run.phase = RunPhase::Starting;
+                    run.orderedAt = now;
+                    run.isOrderInFlight = true;
+                    orders.emplace_back(StartOrder { { { id, number, step, index }, run.number }, run.worker, false });
+                }
+            }
+        }
+    }
+}
+
+void checkRuns(State& state, MonotonicTime now, Orders& orders)
+{
+    for (auto& [id, worker] : state.workers) {
+        const auto refs = worker.runs;
+        std::ranges::for_each(refs, [&](const RunRef& ref) { checkRun(state, ref, worker, now, orders); });
+    }
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -0,0 +1,55 @@
+#include "scheduler/Scheduler.h"
+
+#include "scheduler/Health.h"
+#include "scheduler/Pacing.h"
+#include "scheduler/Placement.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+void cancelJob(State& state, const GraphJobId& id, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+{
+    auto* job = findJob(state, id);
+    if (!job || hasEnded(*job))
+        return;
+    job->isCancelRequested = true;
+    endJob(state, *job, schema::JobState::Cancelled, now, wallMs);
+    orders.emplace_back(Decision { "job_cancelled", id.value(), {}, "caller", {}, static_cast<std::int64_t>(countRuns(*job)) });
+    stopRunsOf(state, *job, StopReason::JobEnded, now, orders);
+}
+
+void onTick(State& state, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+{
+    for (const auto& id : state.active) {
+        auto& job = state.jobs.at(id);
+        if (job.spec->repeat_count > 0)
+            openDueOccurrences(state, job, now, wallMs);
+    }
+    checkRuns(state, now, orders);
+    checkProgress(state, now, orders);
+    checkWorkers(state, now, orders);
+    placeCopies(state, now, orders);
+}
+
+void advance(State& state, MonotonicTime now, Orders& orders)
+{
+    placeWaiting(state, now, orders);
+    orderLooks(state, now, orders);
+}
+
+void retireJobs(State& state)
+{
+    std::erase_if(state.active, [&](const GraphJobId& id) {
+        auto& job = state.jobs.at(id);
+        const bool isOver = hasEnded(job) && job.committed == job.version && !job.isCommitInFlight && countRuns(job) == 0;
+        if (!isOver)
+            return false;
+        state.dirty.erase(id);
+        job.occurrences.clear();
+        job.spec.reset();
+        return true;
+    });
+}
+
+} // namespace kingcuploom::scheduler
--- /dev/null
+++ b/tools/kingcuploomd/ExitCode.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace kingcuploom {
+
+enum ExitCode {
+    Success = 0,
+    StartFailed = 1,
+    WrongUsage = 2,
+    BadSettings = 3,
+};
+
+} // namespace kingcuploom
--- /dev/null
+++ b/tools/kingcuploomd/Signals.cpp
@@ -0,0 +1,26 @@
+#include "Signals.h"
+
+#include "base/Log.h"
+
+namespace kingcuploom {
+
+sigset_t blockShutdownSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+void waitForShutdownSignal(const sigset_t& signals)
+{
+    int number = 0;
+    sigwait(&signals, &number);
+    logEvent(LogLevel::Info, "shutdown_requested", { { "signal", number } });
+}
+
+} // namespace kingcuploom
--- a/tools/kingcuploomd/main.cpp
+++ b/tools/kingcuploomd/main.cpp
@@ -1,9 +1,7 @@
-#include "base/Log.h"
-#include "daemon/Daemon.h"
-#include "daemon/SettingsFile.h"
+#include "Options.h"
+
+#include "base/Expected.h"
 
-#include <algorithm>
-#include <csignal>
 #include <docopt/docopt.h>
 #include <iostream>
 
@@ -15,11 +13,13 @@
 
 Usage:
   kingcuploomd --settings FILE [--check] [--allow-faults]
+  kingcuploomd platform [--node-file FILE] [--check]
   kingcuploomd --help
   kingcuploomd --version
 
 Options:
   --settings FILE  Settings file, JSON with comments.
+  --node-file FILE  The platform's settings file of this process; default: the variable KINGCUPLOOM_NODE_FILE.
   --check          Check the settings file and exit.
   --allow-faults   Accept test_faults in the settings; for tests only.
   --help           Show this text.
@@ -37,28 +37,18 @@
 
 constexpr char version[] = "kingcuploomd 0.1.0";
 
-enum ExitCode {
-    Success = 0,
-    StartFailed = 1,
-    WrongUsage = 2,
-    BadSettings = 3,
-};
-
-struct Options {
-    std::string settings;
-    bool isCheck = false;
-    TestFaults testFaults = TestFaults::Refused;
-};
-
 // Either the options or the exit code to end with.
 Expected<Options, ExitCode> parseOptions(const std::vector<std::string>& arguments)
 {
     try {
         const auto values = docopt::docopt_parse(usage, arguments, true, true);
+        const auto text = [&](const char* name) { return values.at(name).isString() ? values.at(name).asString() : std::string(); };
         Options options;
-        options.settings = values.at("--settings").asString();
+        options.settings = text("--settings");
+        options.nodeFile = text("--node-file");
+        options.isPlatform = values.at("platform").asBool();
         options.isCheck = values.at("--check").asBool();
-        options.testFaults = values.at("--allow-faults").asBool() ? TestFaults::Allowed : TestFaults::Refused;
+        options.areTestFaultsAllowed = values.at("--allow-faults").asBool();
         return options;
     } catch (const docopt::DocoptExitHelp&) {
         std::cout << usage;
@@ -72,53 +62,16 @@
     }
 }
 
-sigset_t shutdownSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-// The signals must be blocked before the first thread starts, so that only this thread receives them.
-void waitForShutdownSignal(const sigset_t& signals)
+ExitCode run(const Options& options)
 {
-    int number = 0;
-    sigwait(&signals, &number);
-    logEvent(LogLevel::Info, "shutdown_requested", { { "signal", number } });
-}
-
-int runDaemon(const schema::SettingsT& settings)
-{
-    const auto signals = shutdownSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    // A peer that closes its connection must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
-    configureLogging(parseLogLevel(settings.log_level).value_or(LogLevel::Info), settings.daemon_id);
-    Daemon daemon(settings);
-    if (const auto started = daemon.start(); !started) {
-        logEvent(LogLevel::Error, "start_failed", { { "reason", toString(started.error()) } });
-        return StartFailed;
-    }
-    waitForShutdownSignal(signals);
-    daemon.shutDown();
-    logEvent(LogLevel::Info, "ended");
-    return Success;
-}
-
-int run(const Options& options)
-{
-    const auto settings = loadSettings(options.settings, options.testFaults);
-    if (!settings) {
-        std::ranges::for_each(describe(settings.error()), [](const auto& line) { std::cerr << "kingcuploomd: " << line << '\n'; });
-        return BadSettings;
-    }
-    if (options.isCheck) {
-        std::cout << options.settings << ": valid\n";
-        return Success;
-    }
-    return runDaemon(*settings);
+    if (options.isPlatform)
+        return runOnPlatform(options);
+#ifdef KC_PLATFORM_ONLY
+    std::cerr << "kingcuploomd: this build runs on the platform only\n";
+    return WrongUsage;
+#else
+    return runStandalone(options);
+#endif
 }
 
 } // namespace
