Keep the leases of an earlier leader's runs until the worker has seen the new fence

Cause: after a takeover the first look carries no lease, because the worker's clock is not known, so the end of the lease stood at zero and runs that the worker had just listed were released as lapsed. Ruled out: restarts of workers (the log line said so of every worker at its first sighting; it now says worker_seen). A claim is given up when another holder is seen while the lease is granted: it had replaced the first leader at the start.

--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -171,6 +171,12 @@
 
 void Leadership::claim(LeaseId lease)
 {
+    // Another node may have been first while the lease was granted.
+    if (m_holder && m_holderNode != m_settings.node) {
+        m_isStanding = false;
+        m_standAt.reset();
+        return;
+    }
     m_claimLease = lease;
     Transaction transaction;
     transaction.conditions = { { holderKey, m_holder.value_or(Revision()) }, { termKey, m_term } };
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -42,8 +42,9 @@
     // Runs of the earlier incarnation ended with it. A start that was under way may have reached the new one.
     void onNewIncarnation(State& state, Worker& worker, Born born, MonotonicTime now, Orders& orders)
     {
-        orders.emplace_back(
-            Decision { "worker_restarted", {}, worker.id, "new_incarnation", {}, static_cast<std::int64_t>(worker.runs.size()) });
+        const bool isFirstSeen = worker.born == Born();
+        orders.emplace_back(Decision { isFirstSeen ? "worker_seen" : "worker_restarted", {}, worker.id, "new_incarnation", {},
+            static_cast<std::int64_t>(worker.runs.size()) });
         const auto earlier = worker.born;
         resetIncarnation(worker, born);
         const auto refs = worker.runs;
@@ -179,6 +180,9 @@
         return;
     if (report.born > worker->born)
         onNewIncarnation(state, *worker, report.born, now, orders);
+    // Until now an earlier leader may have extended the leases on the worker; from now on the fence keeps it from doing so.
+    if (!worker->hasSeenFence)
+        worker->leaseEnd = std::max(worker->leaseEnd, now + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100);
     worker->hasSeenFence = true;
     worker->lastAnswerAt = now;
     worker->missedLooks = 0;
