Learn which images disturb each other, and place and pace by it

Ruled out: processors left over as the cause (filling tasks at full pace got 0.95 of their size at the median).

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "schema/generated/jobs_generated.h"
+#include "scheduler/Interference.h"
 
 #include <deque>
 #include <map>
@@ -128,6 +129,8 @@
     GraphJobId id;
     QueueName queue;
     std::shared_ptr<const schema::GraphJobSpecT> spec;
+    // Images of the steps.
+    std::vector<ImageNumber> images;
     schema::JobState state = schema::JobState::Queued;
     std::map<std::uint32_t, Occurrence> occurrences;
     // Occurrences 0 to this number, exclusive, have been opened.
@@ -198,6 +201,8 @@
     Amounts reserved;
     std::int64_t servingCpuMillis = 0;
     std::int64_t fillingCpuMillis = 0;
+    // Number of runs of serving tasks by image.
+    std::map<ImageNumber, int> servingImages;
     // Runs that may exist on the worker.
     std::set<RunRef> runs;
 
@@ -217,8 +222,11 @@
     std::deque<UncommittedEnd> uncommittedEnds;
 
     WorkerHealth health;
-    // Share for filling tasks, percent.
-    int fillPace = 100;
+    // Share for filling tasks that disturb a serving task here, and for the others, percent.
+    int disturbingPace = 100;
+    int otherPace = 100;
+    // Controls in a row that found the pressure too high.
+    int highControls = 0;
     MonotonicTime paceChangedAt;
     // Largest tail latency of a serving task against its limit, in percent of the limit.
     int servingPressure = 0;
@@ -251,6 +259,8 @@
     std::set<GraphJobId> active;
     // Jobs with progress to store.
     std::set<GraphJobId> dirty;
+    InterferenceModel interference;
+    MonotonicTime refittedAt;
 };
 
 const schema::QueuePolicyT& policyOf(const State&, const Job&);
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -34,7 +34,8 @@
         worker.committedEnd = {};
         worker.uncommittedEnds.clear();
         worker.health = {};
-        worker.fillPace = 100;
+        worker.disturbingPace = 100;
+        worker.otherPace = 100;
         worker.servingPressure = 0;
         worker.missedLooks = 0;
     }
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -129,6 +129,8 @@
     job.id = id;
     job.queue = QueueName(spec->queue);
     job.spec = std::move(spec);
+    std::ranges::transform(
+        job.spec->steps, std::back_inserter(job.images), [&](const auto& step) { return state.interference.numberOf(step->image); });
     job.recordRevision = recordRevision;
     job.arrivedAt = now;
     const auto age = std::clamp(Milliseconds(wallMs - job.spec->accepted_at_ms), Milliseconds(0), Milliseconds(60'000));
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -13,8 +13,10 @@
     // Share of their size that serving tasks use on average, percent. The rest is what filling tasks can have.
     constexpr std::int64_t servingUsePercent = 55;
     // Weights of the score of a worker; the share of its processors that is left over counts 1.
-    constexpr double pressureWeight = 0.8;
+    constexpr double pressureWeight = 0.4;
     constexpr double paceWeight = 0.7;
+    // Rise of the pressure on serving tasks that the task would cause, counted once for each of them.
+    constexpr double disturbanceWeight = 2.5;
     constexpr double suspicionWeight = 2.0;
     constexpr double farWeight = 1.5;
     constexpr double rackWeight = 0.05;
@@ -72,12 +74,24 @@
         return static_cast<double>(worker.capacity.cpuMillis - used) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
     }
 
-    double scoreOf(const Worker& worker, const schema::StepSpecT& step, const Task& task, MonotonicTime now)
+    // Expected rise of the pressure on the serving tasks of the worker, summed.
+    double disturbance(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
     {
+        double sum = 0;
+        for (const auto& [serving, count] : worker.servingImages)
+            sum += state.interference.effect(serving, image) * count;
+        return sum * static_cast<double>(step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
+    }
+
+    double scoreOf(const State& state, const Worker& worker, const Job& job, std::uint32_t stepNumber, const Task& task, MonotonicTime now)
+    {
+        const auto& step = stepSpecOf(job, stepNumber);
         auto score = leftOver(worker, step);
         if (step.fills) {
-            score -= pressureWeight * std::max(0, worker.servingPressure - 50) / 100.0;
-            score -= paceWeight * (100 - worker.fillPace) / 100.0;
+            const auto disturbed = disturbance(state, worker, step, job.images[stepNumber]);
+            score -= disturbanceWeight * disturbed;
+            score -= pressureWeight * std::max(0, worker.servingPressure - 60) / 100.0;
+            score -= paceWeight * (100 - (disturbed > 0.05 ? worker.disturbingPace : worker.otherPace)) / 100.0;
         }
         if (worker.health.avoidUntil > now)
             score -= suspicionWeight;
@@ -99,7 +113,7 @@
             const bool hasCopy = std::ranges::any_of(task.runs, [&](const Run& run) { return run.worker == id; });
             if (hasCopy)
                 continue;
-            const auto score = scoreOf(worker, step, task, now);
+            const auto score = scoreOf(state, worker, job, ref.step, task, now);
             if (score > best.score)
                 best = { &worker, score };
         }
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -28,12 +28,18 @@
         return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators };
     }
 
-    void countShares(Worker& worker, const schema::StepSpecT& step, std::int64_t sign)
+    void countShares(Worker& worker, const schema::StepSpecT& step, ImageNumber image, int sign)
     {
         if (step.fills)
             worker.fillingCpuMillis += sign * step.cpu_millis;
         else if (step.long_running)
             worker.servingCpuMillis += sign * step.cpu_millis;
+        if (step.target_ms == 0)
+            return;
+        auto& count = worker.servingImages[image];
+        count += sign;
+        if (count == 0)
+            worker.servingImages.erase(image);
     }
 
     void failTask(State& state, Job& job, const TaskRef& ref, const Run& run, MonotonicTime now, std::int64_t wallMs, Orders& orders)
@@ -193,7 +199,7 @@
         return;
     const auto& step = stepSpecOf(*job, ref.task.step);
     worker.reserved += amountsOf(step);
-    countShares(worker, step, 1);
+    countShares(worker, step, job->images[ref.task.step], 1);
 }
 
 void unreserve(State& state, const RunRef& ref, const WorkerId& id)
@@ -204,7 +210,7 @@
         return;
     const auto& step = stepSpecOf(*job, ref.task.step);
     worker->reserved -= amountsOf(step);
-    countShares(*worker, step, -1);
+    countShares(*worker, step, job->images[ref.task.step], -1);
 }
 
 void releaseRun(State& state, const RunRef& ref, MonotonicTime now)
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -19,8 +19,18 @@
     stopRunsOf(state, *job, StopReason::JobEnded, now, orders);
 }
 
+namespace {
+
+    constexpr Milliseconds refitInterval { 1000 };
+
+} // namespace
+
 void onTick(State& state, MonotonicTime now, std::int64_t wallMs, Orders& orders)
 {
+    if (now - state.refittedAt >= refitInterval) {
+        state.interference.refit();
+        state.refittedAt = now;
+    }
     for (const auto& id : state.active) {
         auto& job = state.jobs.at(id);
         if (job.spec->repeat_count > 0)
