Limit the connections to a worker, and let the leases of workers that do not answer end

Ruled out: records lost in the loss of power (the job was read back with its run). Runs adopted from an earlier leader stood still at the pace that it had set, and counted as stalled; their pace is now set anew.

--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -37,6 +37,8 @@
     Milliseconds idleTimeout { 8000 };
     Milliseconds connectTimeout { 1000 };
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    // Connections to one address, idle ones included; further calls wait for one.
+    std::size_t maxConnections = 16;
 };
 
 using AsyncCallback = std::function<void(Expected<Response, AsyncCallError>)>;
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <deque>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
@@ -72,6 +73,23 @@
 
 struct Connection;
 
+namespace {
+
+    struct WaitingCall {
+        AsyncCall call;
+        AsyncCallback callback;
+        SteadyTime deadline;
+    };
+
+    // Connections to one address.
+    struct Peer {
+        std::vector<std::shared_ptr<Connection>> idle;
+        std::size_t busyCount = 0;
+        std::deque<WaitingCall> waiting;
+    };
+
+} // namespace
+
 struct AsyncHttpClient::State : std::enable_shared_from_this<State> {
     State(asio::io_context& loop, AsyncClientLimits limits)
         : loop(loop)
@@ -81,17 +99,23 @@
     }
 
     void call(AsyncCall, AsyncCallback);
+    void start(Peer&, AsyncCall, AsyncCallback);
     void release(const std::shared_ptr<Connection>&, bool isReusable);
+    void startWaiting(Peer&);
     void armSweep();
     void sweep();
-    std::shared_ptr<Connection> takeIdle(const Address&);
+    void dropLateWaiting(SteadyTime now);
+    std::shared_ptr<Connection> takeIdle(Peer&);
+    // Makes room for a new connection by closing an idle one.
+    void closeOneIdle(Peer&);
 
     asio::io_context& loop;
     AsyncClientLimits limits;
     asio::steady_timer sweepTimer;
     bool isSweepArmed = false;
     std::set<std::shared_ptr<Connection>> busy;
-    std::map<Address, std::vector<std::shared_ptr<Connection>>> idle;
+    std::map<Address, Peer> peers;
+    std::size_t waitingCount = 0;
 };
 
 struct Connection : std::enable_shared_from_this<Connection> {
@@ -198,23 +222,45 @@
 
 void AsyncHttpClient::State::call(AsyncCall call, AsyncCallback callback)
 {
-    auto connection = call.isRepeat ? nullptr : takeIdle(call.address);
-    if (!connection)
+    auto& peer = peers[call.address];
+    if (peer.busyCount < limits.maxConnections) {
+        start(peer, std::move(call), std::move(callback));
+    } else {
+        const auto deadline = std::chrono::steady_clock::now() + call.timeout;
+        peer.waiting.push_back({ std::move(call), std::move(callback), deadline });
+        ++waitingCount;
+    }
+    armSweep();
+}
+
+void AsyncHttpClient::State::start(Peer& peer, AsyncCall call, AsyncCallback callback)
+{
+    auto connection = call.isRepeat ? nullptr : takeIdle(peer);
+    if (!connection) {
+        if (peer.busyCount + peer.idle.size() >= limits.maxConnections)
+            closeOneIdle(peer);
         connection = std::make_shared<Connection>(shared_from_this(), call.address);
+    }
+    ++peer.busyCount;
     busy.insert(connection);
     connection->start(std::move(call), std::move(callback));
-    armSweep();
 }
 
-std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(const Address& address)
+void AsyncHttpClient::State::closeOneIdle(Peer& peer)
+{
+    if (peer.idle.empty())
+        return;
+    boost::system::error_code ec;
+    ec = peer.idle.front()->socket.close(ec);
+    peer.idle.erase(peer.idle.begin());
+}
+
+std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(Peer& peer)
 {
-    const auto it = idle.find(address);
-    if (it == idle.end())
-        return nullptr;
     const auto oldest = std::chrono::steady_clock::now() - limits.idleTimeout;
-    while (!it->second.empty()) {
-        auto connection = std::move(it->second.back());
-        it->second.pop_back();
+    while (!peer.idle.empty()) {
+        auto connection = std::move(peer.idle.back());
+        peer.idle.pop_back();
         // Readable while idle: closed by the peer, or out of step.
         char byte = 0;
         const bool isQuiet = recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
@@ -229,18 +275,33 @@
 void AsyncHttpClient::State::release(const std::shared_ptr<Connection>& connection, bool isReusable)
 {
     busy.erase(connection);
+    auto& peer = peers[connection->address];
+    --peer.busyCount;
     if (isReusable) {
         connection->idleSince = std::chrono::steady_clock::now();
-        idle[connection->address].push_back(connection);
-        return;
+        peer.idle.push_back(connection);
+    } else {
+        boost::system::error_code ec;
+        ec = connection->socket.close(ec);
+    }
+    startWaiting(peer);
+}
+
+void AsyncHttpClient::State::startWaiting(Peer& peer)
+{
+    while (!peer.waiting.empty() && peer.busyCount < limits.maxConnections) {
+        auto next = std::move(peer.waiting.front());
+        peer.waiting.pop_front();
+        --waitingCount;
+        const auto left = std::chrono::duration_cast<Milliseconds>(next.deadline - std::chrono::steady_clock::now());
+        next.call.timeout = std::max(left, Milliseconds(1));
+        start(peer, std::move(next.call), std::move(next.callback));
     }
-    boost::system::error_code ec;
-    ec = connection->socket.close(ec);
 }
 
 void AsyncHttpClient::State::armSweep()
 {
-    if (isSweepArmed || busy.empty())
+    if (isSweepArmed || (busy.empty() && waitingCount == 0))
         return;
     isSweepArmed = true;
     sweepTimer.expires_after(sweepInterval);
@@ -265,6 +326,23 @@
         const auto error = connection->isSending ? AsyncCallError::NoAnswer : AsyncCallError::NotSent;
         connection->finish(makeUnexpected(error), false);
     }
+    if (waitingCount > 0)
+        dropLateWaiting(now);
+}
+
+void AsyncHttpClient::State::dropLateWaiting(SteadyTime now)
+{
+    std::vector<AsyncCallback> late;
+    for (auto& [address, peer] : peers) {
+        std::erase_if(peer.waiting, [&](WaitingCall& it) {
+            if (it.deadline > now)
+                return false;
+            late.push_back(std::move(it.callback));
+            return true;
+        });
+    }
+    waitingCount -= late.size();
+    std::ranges::for_each(late, [](const auto& callback) { callback(makeUnexpected(AsyncCallError::NotSent)); });
 }
 
 AsyncHttpClient::AsyncHttpClient(asio::io_context& loop, AsyncClientLimits limits)
@@ -278,14 +356,9 @@
 
 void AsyncHttpClient::closeIdle(const Address& address)
 {
-    const auto it = m_state->idle.find(address);
-    if (it == m_state->idle.end())
-        return;
-    for (const auto& connection : it->second) {
-        boost::system::error_code ec;
-        ec = connection->socket.close(ec);
-    }
-    m_state->idle.erase(it);
+    auto& peer = m_state->peers[address];
+    while (!peer.idle.empty())
+        m_state->closeOneIdle(peer);
 }
 
 } // namespace kingcuploom::http
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -358,7 +358,8 @@
     if (!worker)
         return;
     LookMessage message;
-    if (mayExtendLeases())
+    // While the worker does not answer, its leases are left to end: a run that cannot be stopped must end by itself at a known time.
+    if (mayExtendLeases() && worker->missedLooks == 0)
         message.leaseUntilMs = scheduler::extendLease(m_state, *worker, sentAt);
     message.acknowledged = worker->committedEnd;
     message.wait = order.wait;
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -72,6 +72,9 @@
 
 const char* toString(StopReason);
 
+// A pace that is not known.
+inline constexpr int unknownPace = -1;
+
 struct Run {
     RunNumber number;
     WorkerId worker;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -71,9 +71,12 @@
         }
         const bool isNew = run->phase == RunPhase::Starting || run->phase == RunPhase::Unverified;
         if (isNew) {
-            run->phase = RunPhase::Running;
             run->startConfirmedAt = now;
             run->percentChangedAt = now;
+            // An earlier leader may have paced it.
+            if (run->phase == RunPhase::Unverified)
+                run->confirmedPace = unknownPace;
+            run->phase = RunPhase::Running;
             auto* job = findJob(state, listed.run.task.job);
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
