Keep serving tasks of one image together

Cause: of nine filling images four disturb two or three of the five serving images each; with serving tasks spread by free room every worker held all images, so no worker was free of disturbance and filling tasks stood at pace 0 for two fifths of their time.

--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -17,6 +17,9 @@
     constexpr double paceWeight = 0.7;
     // Rise of the pressure on serving tasks that the task would cause, counted once for each of them.
     constexpr double disturbanceWeight = 2.5;
+    // Serving tasks of one image are kept together, so that each filling image finds workers with no task that it disturbs.
+    constexpr double sameImageWeight = 1.0;
+    constexpr double otherImageWeight = 0.8;
     constexpr double suspicionWeight = 2.0;
     constexpr double farWeight = 1.5;
     constexpr double rackWeight = 0.05;
@@ -83,6 +86,18 @@
         return sum * static_cast<double>(step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
     }
 
+    // In favour of workers that serve the same image, then of those that serve none.
+    double likenessOf(const Worker& worker, ImageNumber image)
+    {
+        double same = 0;
+        double others = 0;
+        for (const auto& [serving, count] : worker.servingImages)
+            (serving == image ? same : others) += count;
+        if (same + others == 0)
+            return 0;
+        return (sameImageWeight * same - otherImageWeight * others) / (same + others);
+    }
+
     double scoreOf(const State& state, const Worker& worker, const Job& job, std::uint32_t stepNumber, const Task& task, MonotonicTime now)
     {
         const auto& step = stepSpecOf(job, stepNumber);
@@ -93,6 +108,8 @@
             score -= pressureWeight * std::max(0, worker.servingPressure - 60) / 100.0;
             score -= paceWeight * (100 - (disturbed > 0.05 ? worker.disturbingPace : worker.otherPace)) / 100.0;
         }
+        if (step.target_ms > 0)
+            score += likenessOf(worker, job.images[stepNumber]);
         if (worker.health.avoidUntil > now)
             score -= suspicionWeight;
         if (std::ranges::find(task.failedOn, worker.id) != task.failedOn.end())
