--- a/libs/scheduler/include/scheduler/Interference.h
+++ b/libs/scheduler/include/scheduler/Interference.h
@@ -15,16 +15,17 @@
 // Figures of one serving task at one look.
 struct InterferenceSample {
     ImageNumber serving;
-    // Tail latency as a share of its limit.
-    double pressure = 0;
+    // Limit of the tail latency divided by the tail latency: 1 at the limit, more below it.
+    double slack = 0;
     // Processors that tasks without an image use, as a share of the worker's.
     double otherUse = 0;
     // The same by image of the filling tasks; one entry for an image.
     std::vector<std::pair<ImageNumber, double>> fillingUse;
 };
 
-// Learns by how much each filling image raises the pressure of each serving image: a linear model for each serving image, fitted by
-// least squares over the last half minute or so. Pairs differ widely, and most of them do not disturb each other.
+// Learns by how much each filling image takes from the slack of each serving image: a linear model for each serving image, fitted
+// by least squares over the last half minute or so. Pairs differ widely, and most of them do not disturb each other. The slack is
+// used because a tail latency grows like 1 / (1 - load), so that its inverse falls linearly with the load.
 class InterferenceModel {
 public:
     ImageNumber numberOf(const std::string& image);
@@ -33,9 +34,12 @@
     // Fits the models to the samples. To be called every second; older samples lose weight with each call.
     void refit();
 
-    // Rise of the pressure when the filling image uses all processors of a worker.
+    // Slack that is lost when the filling image uses all processors of a worker.
     double effect(ImageNumber serving, ImageNumber filling) const;
-    bool isKnown(ImageNumber serving, ImageNumber filling) const;
+    // Mean slack of the serving image without filling tasks.
+    double ownSlack(ImageNumber serving) const;
+    // Counts the refits; effects change only with it.
+    unsigned version() const { return m_version; }
 
 private:
     struct Model {
@@ -49,6 +53,7 @@
 
     std::map<std::string, ImageNumber> m_numbers;
     std::map<ImageNumber, Model> m_models;
+    unsigned m_version = 0;
 };
 
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -206,6 +206,12 @@
     std::int64_t fillingCpuMillis = 0;
     // Number of runs of serving tasks by image.
     std::map<ImageNumber, int> servingImages;
+    // Sizes of the filling tasks by image, thousandths of a processor.
+    std::map<ImageNumber, std::int64_t> fillingImages;
+    // Slack that each serving image is expected to lose to the filling tasks at full pace; for this version of the model.
+    mutable std::map<ImageNumber, double> expectedLosses;
+    mutable unsigned expectedLossesVersion = 0;
+    mutable bool areExpectedLossesStale = true;
     // Runs that may exist on the worker.
     std::set<RunRef> runs;
 
@@ -225,14 +231,13 @@
     std::deque<UncommittedEnd> uncommittedEnds;
 
     WorkerHealth health;
-    // Share for filling tasks that disturb a serving task here, and for the others, percent.
-    int disturbingPace = 100;
-    int otherPace = 100;
-    // Controls in a row that found the pressure too high.
-    int highControls = 0;
+    // Shares of the filling images, percent; 100 for one that is not named.
+    std::map<ImageNumber, int> paces;
+    // Correction of the shares for what the model does not explain, from 0 to 1.
+    double paceTrim = 1.0;
     MonotonicTime paceChangedAt;
-    // Largest tail latency of a serving task against its limit, in percent of the limit.
-    int servingPressure = 0;
+    // Least slack of a serving task at the last control.
+    double leastSlack = 4.0;
     MonotonicTime roomRefusedUntil;
 };
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -34,9 +34,9 @@
         worker.committedEnd = {};
         worker.uncommittedEnds.clear();
         worker.health = {};
-        worker.disturbingPace = 100;
-        worker.otherPace = 100;
-        worker.servingPressure = 0;
+        worker.paces.clear();
+        worker.paceTrim = 1.0;
+        worker.leastSlack = 4.0;
         worker.missedLooks = 0;
     }
 
--- a/libs/scheduler/src/Interference.cpp
+++ b/libs/scheduler/src/Interference.cpp
@@ -15,12 +15,11 @@
     // Weight that a sample keeps from one refit to the next.
     constexpr double keptWeight = 0.96;
     // Effect that is assumed of a pair without samples, and how many squared shares of use outweigh it.
-    constexpr double assumedEffect = 0.3;
+    constexpr double assumedEffect = 1.0;
     constexpr double assumedWeight = 0.05;
-    // A pair is known when it has this many squared shares of use.
-    constexpr double knownWeight = 0.05;
-    // A reading far over the limit says no more than one that is well over it.
-    constexpr double maxPressure = 3.0;
+    constexpr double assumedOwnSlack = 2.3;
+    // A very low tail latency is a matter of rounding.
+    constexpr double maxSlack = 4.0;
 
     std::size_t columnOf(ImageNumber image) { return firstImageColumn + image.value(); }
 
@@ -72,9 +71,9 @@
     std::vector<std::pair<std::size_t, double>> inputs { { constantColumn, 1.0 }, { otherColumn, sample.otherUse } };
     std::ranges::transform(
         sample.fillingUse, std::back_inserter(inputs), [](const auto& use) { return std::pair(columnOf(use.first), use.second); });
-    const auto pressure = std::min(sample.pressure, maxPressure);
+    const auto slack = std::min(sample.slack, maxSlack);
     for (const auto& [row, left] : inputs) {
-        model.sums[row] += left * pressure;
+        model.sums[row] += left * slack;
         for (const auto& [column, right] : inputs)
             model.products[row][column] += left * right;
     }
@@ -82,12 +81,13 @@
 
 void InterferenceModel::refit()
 {
+    ++m_version;
     for (auto& [serving, model] : m_models) {
         auto rows = model.products;
         auto right = model.sums;
         for (std::size_t i = 0; i < right.size(); ++i) {
             rows[i][i] += assumedWeight;
-            right[i] += assumedWeight * (i == constantColumn ? 0 : assumedEffect);
+            right[i] += assumedWeight * (i == constantColumn ? assumedOwnSlack : -assumedEffect);
         }
         model.coefficients = solve(std::move(rows), std::move(right));
         for (auto& row : model.products)
@@ -102,14 +102,15 @@
     const auto column = columnOf(filling);
     if (it == m_models.end() || column >= it->second.coefficients.size())
         return assumedEffect;
-    return std::max(it->second.coefficients[column], 0.0);
+    return std::max(-it->second.coefficients[column], 0.0);
 }
 
-bool InterferenceModel::isKnown(ImageNumber serving, ImageNumber filling) const
+double InterferenceModel::ownSlack(ImageNumber serving) const
 {
     const auto it = m_models.find(serving);
-    const auto column = columnOf(filling);
-    return it != m_models.end() && column < it->second.coefficients.size() && it->second.products[column][column] >= knownWeight;
+    if (it == m_models.end() || it->second.coefficients.empty())
+        return assumedOwnSlack;
+    return it->second.coefficients[constantColumn];
 }
 
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Pacing.cpp
+++ b/libs/scheduler/src/Pacing.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Pacing.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace kingcuploom::scheduler {
 
@@ -8,50 +9,42 @@
 
     // A tail latency is that of the last half second, and a pace needs a tenth to take effect.
     constexpr Milliseconds controlInterval { 450 };
-    // Tail latency against its limit, percent: where it is held, and where it counts as high. Measurements are late, so it is held
-    // below the limit.
-    constexpr int wantedPressure = 86;
-    constexpr int highPressure = 97;
-    // Pressure without any filling task, assumed for the correction.
-    constexpr int ownPressure = 38;
-    // Largest rise of a share in one control, percent points, and the share to begin with after standing still.
-    constexpr int maxRise = 35;
-    constexpr int firstPace = 20;
+    // Slack at which serving tasks are held. Readings are late, so it is above the limit of 1.
+    constexpr double wantedSlack = 1.2;
+    // The same for the mean slack at placement; the slack swings with the load of the serving task.
+    constexpr double wantedMeanSlack = 1.35;
+    // Images with a smaller effect are not paced for a serving task.
+    constexpr double relevantEffect = 0.9;
+    // Largest rise of a share in one control, percent points.
+    constexpr int maxRise = 30;
     // Below this share a filling task gets so little done that standing still for a moment serves both better.
-    constexpr int leastPace = 8;
-    // Effect of a filling image on a serving one from which on it counts as disturbing.
-    constexpr double disturbingEffect = 0.5;
-    // The pressure stays high for this many controls with the disturbing tasks at rest: the others are paced as well.
-    constexpr int controlsBeforeOthers = 2;
-    // A lone high reading of a serving task that has just started says little.
+    constexpr int leastPace = 5;
+    // Smaller changes of a share are not ordered, percent points.
+    constexpr int leastChange = 4;
+    // Correction while the limit is passed, and the return from it.
+    constexpr double trimFactor = 0.6;
+    constexpr double trimReturn = 0.15;
+    constexpr double leastTrim = 0.1;
+    // A reading of a serving task that has just started says little.
     constexpr int fullPercent = 100;
 
-    int nextPace(int pace, int pressure)
-    {
-        const auto room = std::max(pressure - ownPressure, 1);
-        if (pace < leastPace)
-            return pressure < wantedPressure ? firstPace : 0;
-        const auto wanted = pace * (wantedPressure - ownPressure) / room;
-        const auto next = std::min(wanted, pace + maxRise);
-        return next < leastPace ? 0 : std::min(next, 100);
-    }
-
     struct Serving {
         ImageNumber image;
-        int pressure = 0;
+        double slack = 0;
     };
 
     struct Reading {
         std::vector<Serving> serving;
         std::map<ImageNumber, double> fillingUse;
         double otherUse = 0;
-        int highest = 0;
+        double leastSlack = 4.0;
     };
 
+    double capacityOf(const Worker& worker) { return static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1)); }
+
     Reading readingOf(State& state, const Worker& worker)
     {
         Reading reading;
-        const auto capacity = static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
         for (const auto& ref : worker.runs) {
             const auto* job = findJob(state, ref.task.job);
             const auto* run = findRun(state, ref);
@@ -59,16 +52,16 @@
                 continue;
             const auto& step = stepSpecOf(*job, ref.task.step);
             const auto image = job->images[ref.task.step];
-            const auto use = static_cast<double>(run->figure) / capacity;
+            const auto use = static_cast<double>(run->figure) / capacityOf(worker);
             if (step.target_ms == 0 && step.fills)
                 reading.fillingUse[image] += use;
             else if (step.target_ms == 0)
                 reading.otherUse += use;
-            else if (run->percent == fullPercent)
-                reading.serving.push_back({ image, static_cast<int>(run->figure * 100 / static_cast<std::int64_t>(step.target_ms)) });
+            else if (run->percent == fullPercent && run->figure > 0)
+                reading.serving.push_back({ image, static_cast<double>(step.target_ms) / static_cast<double>(run->figure) });
         }
         for (const auto& serving : reading.serving)
-            reading.highest = std::max(reading.highest, serving.pressure);
+            reading.leastSlack = std::min(reading.leastSlack, serving.slack);
         return reading;
     }
 
@@ -79,44 +72,94 @@
         sample.fillingUse.assign(reading.fillingUse.begin(), reading.fillingUse.end());
         for (const auto& serving : reading.serving) {
             sample.serving = serving.image;
-            sample.pressure = serving.pressure / 100.0;
+            sample.slack = serving.slack;
             state.interference.add(sample);
         }
     }
 
-    bool isDisturbing(const State& state, const Worker& worker, ImageNumber filling)
+    // Share of the filling tasks at which the serving task would keep the wanted slack.
+    double shareFor(const State& state, const Worker& worker, const Reading& reading, const Serving& serving)
     {
-        return std::ranges::any_of(worker.servingImages, [&](const auto& entry) {
-            return state.interference.effect(entry.first, filling) >= disturbingEffect || !state.interference.isKnown(entry.first, filling);
-        });
+        double lost = 0;
+        for (const auto& [image, use] : reading.fillingUse)
+            lost += state.interference.effect(serving.image, image) * use;
+        const auto atFullPace = expectedLoss(state, worker, serving.image);
+        const auto allowed = serving.slack + lost - wantedSlack;
+        return atFullPace <= 0 ? 1.0 : std::clamp(allowed / atFullPace, 0.0, 1.0);
     }
 
-    void setPaces(Worker& worker, int pressure)
+    void setPaces(const State& state, Worker& worker, const Reading& reading)
     {
-        worker.highControls = pressure > highPressure ? worker.highControls + 1 : 0;
-        const bool isOthersTurn = worker.highControls >= controlsBeforeOthers && worker.disturbingPace == 0;
-        if (isOthersTurn || worker.otherPace < 100)
-            worker.otherPace = nextPace(worker.otherPace, pressure);
-        worker.disturbingPace = nextPace(worker.disturbingPace, pressure);
+        worker.paceTrim = reading.leastSlack < 1.0 ? std::max(worker.paceTrim * trimFactor, leastTrim)
+                                                   : std::min(worker.paceTrim + trimReturn, 1.0);
+        std::map<ImageNumber, double> shares;
+        for (const auto& serving : reading.serving) {
+            const auto share = shareFor(state, worker, reading, serving) * worker.paceTrim;
+            for (const auto& [image, size] : worker.fillingImages) {
+                const auto [it, isNew] = shares.try_emplace(image, 1.0);
+                if (state.interference.effect(serving.image, image) >= relevantEffect)
+                    it->second = std::min(it->second, share);
+            }
+        }
+        std::map<ImageNumber, int> paces;
+        for (const auto& [image, share] : shares) {
+            const auto known = worker.paces.find(image);
+            const auto before = known == worker.paces.end() ? 100 : known->second;
+            const auto pace = std::min(static_cast<int>(share * 100), before + maxRise);
+            if (pace < 100)
+                paces[image] = pace < leastPace ? 0 : pace;
+        }
+        worker.paces = std::move(paces);
     }
 
 } // namespace
 
+double expectedLoss(const State& state, const Worker& worker, ImageNumber serving)
+{
+    if (worker.areExpectedLossesStale || worker.expectedLossesVersion != state.interference.version()) {
+        worker.areExpectedLossesStale = false;
+        worker.expectedLossesVersion = state.interference.version();
+        worker.expectedLosses.clear();
+        for (const auto& [image, count] : worker.servingImages) {
+            double loss = 0;
+            for (const auto& [filling, size] : worker.fillingImages)
+                loss += state.interference.effect(image, filling) * static_cast<double>(size) / capacityOf(worker);
+            worker.expectedLosses[image] = loss;
+        }
+    }
+    const auto it = worker.expectedLosses.find(serving);
+    return it == worker.expectedLosses.end() ? 0 : it->second;
+}
+
+double expectedPace(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+{
+    double pace = 1.0;
+    const auto use = static_cast<double>(cpuMillis) / capacityOf(worker);
+    for (const auto& [serving, count] : worker.servingImages) {
+        const auto effect = state.interference.effect(serving, filling);
+        if (effect < relevantEffect)
+            continue;
+        const auto loss = expectedLoss(state, worker, serving) + effect * use;
+        const auto allowed = state.interference.ownSlack(serving) - wantedMeanSlack;
+        pace = std::min(pace, loss <= 0 ? 1.0 : std::clamp(allowed / loss, 0.0, 1.0));
+    }
+    return pace;
+}
+
 void controlPace(State& state, Worker& worker, MonotonicTime now, Orders& orders)
 {
     if (now - worker.paceChangedAt >= controlInterval) {
         const auto reading = readingOf(state, worker);
         learn(state, reading);
-        worker.servingPressure = reading.highest;
+        worker.leastSlack = reading.leastSlack;
         worker.paceChangedAt = now;
-        const auto before = std::pair(worker.disturbingPace, worker.otherPace);
-        if (worker.fillingCpuMillis > 0)
-            setPaces(worker, reading.highest);
-        else
-            worker.disturbingPace = worker.otherPace = 100;
-        if (before != std::pair(worker.disturbingPace, worker.otherPace))
-            orders.emplace_back(Decision {
-                "pace_changed", {}, worker.id, "pressure_" + std::to_string(reading.highest), {}, worker.disturbingPace });
+        const auto before = worker.paces;
+        setPaces(state, worker, reading);
+        if (before != worker.paces) {
+            const auto lowest = std::ranges::min_element(worker.paces, {}, [](const auto& it) { return it.second; });
+            orders.emplace_back(Decision { "pace_changed", {}, worker.id, "slack_" + std::to_string(static_cast<int>(reading.leastSlack * 100)),
+                {}, lowest == worker.paces.end() ? 100 : lowest->second });
+        }
     }
     sendPaces(state, worker, orders);
 }
@@ -128,9 +171,12 @@
         auto* run = findRun(state, ref);
         if (!job || !run || run->phase != RunPhase::Running || !stepSpecOf(*job, ref.task.step).fills)
             continue;
-        const bool isDisturber = isDisturbing(state, worker, job->images[ref.task.step]);
-        run->pace = isDisturber ? worker.disturbingPace : worker.otherPace;
-        if (run->pace == run->confirmedPace || run->isPaceInFlight)
+        const auto it = worker.paces.find(job->images[ref.task.step]);
+        run->pace = it == worker.paces.end() ? 100 : it->second;
+        // Small corrections are not worth a call.
+        const bool isSettled = run->confirmedPace != unknownPace && std::abs(run->pace - run->confirmedPace) < leastChange
+            && (run->pace > 0 || run->confirmedPace == 0) && (run->pace < 100 || run->confirmedPace == 100);
+        if (isSettled || run->isPaceInFlight)
             continue;
         run->isPaceInFlight = true;
         orders.emplace_back(PaceOrder { ref, worker.id, run->pace });
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Placement.h"
 
 #include "scheduler/Health.h"
+#include "scheduler/Pacing.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
@@ -13,10 +14,10 @@
     // Share of their size that serving tasks use on average, percent. The rest is what filling tasks can have.
     constexpr std::int64_t servingUsePercent = 55;
     // Weights of the score of a worker; the share of its processors that is left over counts 1.
-    constexpr double pressureWeight = 0.4;
-    constexpr double paceWeight = 0.7;
-    // Rise of the pressure on serving tasks that the task would cause, counted once for each of them.
-    constexpr double disturbanceWeight = 2.5;
+    constexpr double paceWeight = 1.5;
+    // A filling task waits when it could work only at less than this share, or when less is left over than this share of a worker.
+    constexpr double leastExpectedPace = 0.6;
+    constexpr double leastLeftOver = 0.0;
     // Serving tasks of one image are kept together, so that each filling image finds workers with no task that it disturbs.
     constexpr double sameImageWeight = 1.0;
     constexpr double otherImageWeight = 0.8;
@@ -55,6 +56,19 @@
         return sum.fitsInto(worker.capacity);
     }
 
+    double leftOver(const Worker& worker, const schema::StepSpecT& step)
+    {
+        const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
+        const auto used = others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis + step.cpu_millis;
+        return static_cast<double>(worker.capacity.cpuMillis - used) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
+    }
+
+    // Filling tasks that cannot get on hinder each other and those that are served; they wait instead.
+    bool canFill(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
+    {
+        return leftOver(worker, step) >= leastLeftOver && expectedPace(state, worker, image, step.cpu_millis) >= leastExpectedPace;
+    }
+
     bool isOpen(const State& state, const Worker& worker, MonotonicTime now)
     {
         const bool isAnswering = worker.missedLooks == 0 && (now - worker.lastAnswerAt < silenceLimit || worker.runs.empty());
@@ -70,22 +84,6 @@
         return step.max_per_worker == 0 || runsOfStepOn(worker, ref) < step.max_per_worker;
     }
 
-    double leftOver(const Worker& worker, const schema::StepSpecT& step)
-    {
-        const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
-        const auto used = others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis + step.cpu_millis;
-        return static_cast<double>(worker.capacity.cpuMillis - used) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
-    }
-
-    // Expected rise of the pressure on the serving tasks of the worker, summed.
-    double disturbance(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
-    {
-        double sum = 0;
-        for (const auto& [serving, count] : worker.servingImages)
-            sum += state.interference.effect(serving, image) * count;
-        return sum * static_cast<double>(step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
-    }
-
     // In favour of workers that serve the same image, then of those that serve none.
     double likenessOf(const Worker& worker, ImageNumber image)
     {
@@ -102,12 +100,8 @@
     {
         const auto& step = stepSpecOf(job, stepNumber);
         auto score = leftOver(worker, step);
-        if (step.fills) {
-            const auto disturbed = disturbance(state, worker, step, job.images[stepNumber]);
-            score -= disturbanceWeight * disturbed;
-            score -= pressureWeight * std::max(0, worker.servingPressure - 60) / 100.0;
-            score -= paceWeight * (100 - (disturbed > 0.05 ? worker.disturbingPace : worker.otherPace)) / 100.0;
-        }
+        if (step.fills)
+            score -= paceWeight * (1 - expectedPace(state, worker, job.images[stepNumber], step.cpu_millis));
         if (step.target_ms > 0)
             score += likenessOf(worker, job.images[stepNumber]);
         if (worker.health.avoidUntil > now)
@@ -127,6 +121,8 @@
         for (auto& [id, worker] : state.workers) {
             if ((rack && worker.rack != *rack) || !mayRun(state, worker, service, step, ref, now))
                 continue;
+            if (step.fills && !canFill(state, worker, step, job.images[ref.step]))
+                continue;
             const bool hasCopy = std::ranges::any_of(task.runs, [&](const Run& run) { return run.worker == id; });
             if (hasCopy)
                 continue;
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -30,9 +30,14 @@
 
     void countShares(Worker& worker, const schema::StepSpecT& step, ImageNumber image, int sign)
     {
-        if (step.fills)
+        worker.areExpectedLossesStale = true;
+        if (step.fills) {
             worker.fillingCpuMillis += sign * step.cpu_millis;
-        else if (step.long_running)
+            auto& size = worker.fillingImages[image];
+            size += sign * step.cpu_millis;
+            if (size == 0)
+                worker.fillingImages.erase(image);
+        } else if (step.long_running)
             worker.servingCpuMillis += sign * step.cpu_millis;
         if (step.target_ms == 0)
             return;
