Pace only for pairs with a clear effect, and count disturbance in placement

Cause: with a memory of half a minute and a threshold below the noise of the fit, images were paced beside serving tasks that they do not disturb; and the penalty began only when a worker was crowded with a disturbing image.

--- a/libs/scheduler/src/Interference.cpp
+++ b/libs/scheduler/src/Interference.cpp
@@ -13,7 +13,7 @@
     constexpr std::size_t firstImageColumn = 2;
 
     // Weight that a sample keeps from one refit to the next.
-    constexpr double keptWeight = 0.96;
+    constexpr double keptWeight = 0.985;
     // Effect that is assumed of a pair without samples, and how many squared shares of use outweigh it.
     constexpr double assumedEffect = 1.0;
     constexpr double assumedWeight = 0.05;
--- a/libs/scheduler/src/Pacing.cpp
+++ b/libs/scheduler/src/Pacing.cpp
@@ -14,7 +14,7 @@
     // The same for the mean slack at placement; the slack swings with the load of the serving task.
     constexpr double wantedMeanSlack = 1.35;
     // Images with a smaller effect are not paced for a serving task.
-    constexpr double relevantEffect = 0.9;
+    constexpr double relevantEffect = 2.0;
     // Largest rise of a share in one control, percent points.
     constexpr int maxRise = 30;
     // Below this share a filling task gets so little done that standing still for a moment serves both better.
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -14,7 +14,9 @@
     // Share of their size that serving tasks use on average, percent. The rest is what filling tasks can have.
     constexpr std::int64_t servingUsePercent = 55;
     // Weights of the score of a worker; the share of its processors that is left over counts 1.
-    constexpr double paceWeight = 1.5;
+    constexpr double paceWeight = 1.0;
+    // For the slack that the serving tasks of the worker are expected to lose, summed.
+    constexpr double disturbanceWeight = 0.7;
     // A filling task waits when it could work only at less than this share, or when less is left over than this share of a worker.
     constexpr double leastExpectedPace = 0.6;
     constexpr double leastLeftOver = 0.0;
@@ -84,6 +86,14 @@
         return step.max_per_worker == 0 || runsOfStepOn(worker, ref) < step.max_per_worker;
     }
 
+    double disturbance(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
+    {
+        double sum = 0;
+        for (const auto& [serving, count] : worker.servingImages)
+            sum += state.interference.effect(serving, image) * count;
+        return sum * static_cast<double>(step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
+    }
+
     // In favour of workers that serve the same image, then of those that serve none.
     double likenessOf(const Worker& worker, ImageNumber image)
     {
@@ -100,6 +110,8 @@
     {
         const auto& step = stepSpecOf(job, stepNumber);
         auto score = leftOver(worker, step);
+        if (step.fills)
+            score -= disturbanceWeight * disturbance(state, worker, step, job.images[stepNumber]);
         if (step.fills)
             score -= paceWeight * (1 - expectedPace(state, worker, job.images[stepNumber], step.cpu_millis));
         if (step.target_ms > 0)
