--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -100,6 +100,8 @@
     int pace = 100;
     int confirmedPace = 100;
     bool isPaceInFlight = false;
+    // Since when the tail latency of a serving task has been over its limit.
+    std::optional<MonotonicTime> overSince;
 };
 
 struct Task {
@@ -238,8 +240,8 @@
     // Correction of the shares for what the model does not explain, from 0 to 1.
     double paceTrim = 1.0;
     MonotonicTime paceChangedAt;
-    // Least slack of a serving task at the last control.
-    double leastSlack = 4.0;
+    // Least slack by serving image at the last control, less what tasks placed since then are expected to take.
+    std::map<ImageNumber, double> leastSlacks;
     MonotonicTime roomRefusedUntil;
 };
 
--- a/libs/scheduler/include/scheduler/Pacing.h
+++ b/libs/scheduler/include/scheduler/Pacing.h
@@ -13,6 +13,11 @@
 // Share at which a further filling task of the image could work on the worker, 0 to 1, from the mean slack of what is served there.
 double expectedPace(const State&, const Worker&, ImageNumber filling, std::int64_t cpuMillis);
 
+// A further filling task of the image leaves each serving task of the worker the slack that it needs, by the last readings.
+bool leavesSlack(const State&, const Worker&, ImageNumber filling, std::int64_t cpuMillis);
+// Notes that such a task was placed.
+void takeSlack(const State&, Worker&, ImageNumber filling, std::int64_t cpuMillis);
+
 // Orders the paces that workers have not confirmed.
 void sendPaces(State&, Worker&, Orders&);
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -38,7 +38,7 @@
         worker.health = {};
         worker.paces.clear();
         worker.paceTrim = 1.0;
-        worker.leastSlack = 4.0;
+        worker.leastSlacks.clear();
         worker.missedLooks = 0;
     }
 
--- a/libs/scheduler/src/Pacing.cpp
+++ b/libs/scheduler/src/Pacing.cpp
@@ -25,12 +25,23 @@
     constexpr double trimFactor = 0.6;
     constexpr double trimReturn = 0.15;
     constexpr double leastTrim = 0.1;
+    // A serving task over its limit for this time puts the tasks that disturb it to rest, and later all filling tasks of the worker.
+    // The limit of harm is 4 s, and a tail latency follows within a second.
+    constexpr Milliseconds restDisturbingAfter { 1300 };
+    constexpr Milliseconds restAllAfter { 2000 };
+    constexpr double slightEffect = 0.4;
+    // A new filling task must leave the serving tasks this slack.
+    constexpr double slackAfterPlacement = 1.12;
+    // An image that is paced below this share on a worker gets no further task there, percent.
+    constexpr int leastPaceToPlace = 60;
     // A reading of a serving task that has just started says little.
     constexpr int fullPercent = 100;
 
     struct Serving {
         ImageNumber image;
         double slack = 0;
+        // Time over the limit.
+        Milliseconds over { 0 };
     };
 
     struct Reading {
@@ -38,16 +49,29 @@
         std::map<ImageNumber, double> fillingUse;
         double otherUse = 0;
         double leastSlack = 4.0;
+        Milliseconds longestOver { 0 };
     };
 
     double capacityOf(const Worker& worker) { return static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1)); }
 
-    Reading readingOf(State& state, const Worker& worker)
+    Serving servingOf(Run& run, ImageNumber image, std::int64_t limitMs, MonotonicTime now)
+    {
+        Serving serving { image, static_cast<double>(limitMs) / static_cast<double>(run.figure), Milliseconds(0) };
+        if (serving.slack >= 1.0)
+            run.overSince.reset();
+        else if (!run.overSince)
+            run.overSince = now;
+        if (run.overSince)
+            serving.over = std::chrono::duration_cast<Milliseconds>(now - *run.overSince);
+        return serving;
+    }
+
+    Reading readingOf(State& state, const Worker& worker, MonotonicTime now)
     {
         Reading reading;
         for (const auto& ref : worker.runs) {
             const auto* job = findJob(state, ref.task.job);
-            const auto* run = findRun(state, ref);
+            auto* run = findRun(state, ref);
             if (!job || !run || !run->isListed)
                 continue;
             const auto& step = stepSpecOf(*job, ref.task.step);
@@ -58,10 +82,12 @@
             else if (step.target_ms == 0)
                 reading.otherUse += use;
             else if (run->percent == fullPercent && run->figure > 0)
-                reading.serving.push_back({ image, static_cast<double>(step.target_ms) / static_cast<double>(run->figure) });
+                reading.serving.push_back(servingOf(*run, image, step.target_ms, now));
         }
-        for (const auto& serving : reading.serving)
+        for (const auto& serving : reading.serving) {
             reading.leastSlack = std::min(reading.leastSlack, serving.slack);
+            reading.longestOver = std::max(reading.longestOver, serving.over);
+        }
         return reading;
     }
 
@@ -77,6 +103,15 @@
         }
     }
 
+    void noteSlacks(Worker& worker, const Reading& reading)
+    {
+        worker.leastSlacks.clear();
+        for (const auto& serving : reading.serving) {
+            const auto [it, isNew] = worker.leastSlacks.try_emplace(serving.image, serving.slack);
+            it->second = std::min(it->second, serving.slack);
+        }
+    }
+
     // Share of the filling tasks at which the serving task would keep the wanted slack.
     double shareFor(const State& state, const Worker& worker, const Reading& reading, const Serving& serving)
     {
@@ -94,10 +129,12 @@
                                                    : std::min(worker.paceTrim + trimReturn, 1.0);
         std::map<ImageNumber, double> shares;
         for (const auto& serving : reading.serving) {
-            const auto share = shareFor(state, worker, reading, serving) * worker.paceTrim;
+            const bool isRest = serving.over >= restDisturbingAfter;
+            const auto share = isRest ? 0.0 : shareFor(state, worker, reading, serving) * worker.paceTrim;
+            const auto leastEffect = serving.over >= restAllAfter ? 0.0 : (isRest ? slightEffect : relevantEffect);
             for (const auto& [image, size] : worker.fillingImages) {
                 const auto [it, isNew] = shares.try_emplace(image, 1.0);
-                if (state.interference.effect(serving.image, image) >= relevantEffect)
+                if (state.interference.effect(serving.image, image) >= leastEffect)
                     it->second = std::min(it->second, share);
             }
         }
@@ -146,12 +183,31 @@
     return pace;
 }
 
+bool leavesSlack(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+{
+    const auto pace = worker.paces.find(filling);
+    if (pace != worker.paces.end() && pace->second < leastPaceToPlace)
+        return false;
+    const auto use = static_cast<double>(cpuMillis) / capacityOf(worker);
+    return std::ranges::all_of(worker.leastSlacks, [&](const auto& entry) {
+        const auto effect = state.interference.effect(entry.first, filling);
+        return effect < relevantEffect || entry.second - effect * use >= slackAfterPlacement;
+    });
+}
+
+void takeSlack(const State& state, Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+{
+    const auto use = static_cast<double>(cpuMillis) / capacityOf(worker);
+    for (auto& [serving, slack] : worker.leastSlacks)
+        slack -= state.interference.effect(serving, filling) * use;
+}
+
 void controlPace(State& state, Worker& worker, MonotonicTime now, Orders& orders)
 {
     if (now - worker.paceChangedAt >= controlInterval) {
-        const auto reading = readingOf(state, worker);
+        const auto reading = readingOf(state, worker, now);
         learn(state, reading);
-        worker.leastSlack = reading.leastSlack;
+        noteSlacks(worker, reading);
         worker.paceChangedAt = now;
         const auto before = worker.paces;
         setPaces(state, worker, reading);
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -68,7 +68,8 @@
     // Filling tasks that cannot get on hinder each other and those that are served; they wait instead.
     bool canFill(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
     {
-        return leftOver(worker, step) >= leastLeftOver && expectedPace(state, worker, image, step.cpu_millis) >= leastExpectedPace;
+        return leftOver(worker, step) >= leastLeftOver && leavesSlack(state, worker, image, step.cpu_millis)
+            && expectedPace(state, worker, image, step.cpu_millis) >= leastExpectedPace;
     }
 
     bool isOpen(const State& state, const Worker& worker, MonotonicTime now)
@@ -158,6 +159,8 @@
         run.recordedBy = job.version;
         task.runs.push_back(run);
         reserve(state, { ref, number }, worker.id);
+        if (const auto& step = stepSpecOf(job, ref.step); step.fills)
+            takeSlack(state, worker, job.images[ref.step], step.cpu_millis);
         const auto age = std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt);
         const auto room = worker.capacity.cpuMillis - worker.reserved.cpuMillis;
         orders.emplace_back(Decision { "run_placed", toString(RunRef { ref, number }), worker.id, "score", age, room });
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler/Health.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/Pacing.h"
 
 #include <algorithm>
 
@@ -286,8 +287,11 @@
         run->phase = RunPhase::Running;
         run->startConfirmedAt = now;
         run->percentChangedAt = now;
-        if (worker)
+        if (worker) {
             worker->lastAnswerAt = now;
+            // A task starts at full pace.
+            sendPaces(state, *worker, orders);
+        }
         auto* job = findJob(state, ref.task.job);
         if (job->state == schema::JobState::Queued)
             job->state = schema::JobState::Running;
