Write bounded logs to standard output and serve counters and latency histograms

One line for each decision; lines wait in a bounded buffer for a thread of their own, 50 lines a second for an event name (200 for warnings), what is left out is counted in a line. /metrics is on the readiness listener.

--- a/libs/base/include/base/Log.h
+++ b/libs/base/include/base/Log.h
@@ -38,6 +38,10 @@
 // Sends all lines at or above the level to standard error. Call once, before the first thread starts.
 void configureLogging(LogLevel, const std::string& daemon);
 
+// The same to standard output, without ever blocking its callers: lines wait in a bounded buffer for a thread of their own, and are
+// dropped and counted when it is full. For daemons under load.
+void configureBoundedLogging(LogLevel, const std::string& daemon);
+
 // Writes one line "event=NAME key=value ...". Thread-safe.
 void logEvent(LogLevel, std::string_view event, std::initializer_list<LogField> = {});
 
--- a/libs/base/src/Log.cpp
+++ b/libs/base/src/Log.cpp
@@ -1,11 +1,17 @@
 #include "base/Log.h"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <map>
 #include <memory>
+#include <mutex>
 
 namespace kingcuploom {
 
@@ -52,16 +58,73 @@
         return log4cxx::Level::getError();
     }
 
+    // Lines that wait for the writing thread.
+    constexpr int maxWaitingLines = 4096;
+    // Lines of one event name in a second. Warnings and errors have more room, because they tell of refusals and losses.
+    constexpr unsigned maxRoutineLines = 50;
+    constexpr unsigned maxUrgentLines = 200;
+
+    // Limits the lines of each event name in a second.
+    class LineLimiter {
+    public:
+        // Number of lines to report as left out before this one; nothing when this one is to be left out as well.
+        bool admit(std::string_view event, LogLevel level, unsigned& leftOut)
+        {
+            const std::lock_guard lock(m_mutex);
+            const auto second
+                = std::chrono::duration_cast<std::chrono::seconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+            auto& count = m_counts[std::string(event)];
+            leftOut = 0;
+            if (count.second != second)
+                leftOut = std::exchange(count, { second, 0, 0 }).leftOut;
+            if (++count.lines <= (level >= LogLevel::Warning ? maxUrgentLines : maxRoutineLines))
+                return true;
+            ++count.leftOut;
+            return false;
+        }
+
+    private:
+        struct Count {
+            std::int64_t second = 0;
+            unsigned lines = 0;
+            unsigned leftOut = 0;
+        };
+        std::mutex m_mutex;
+        std::map<std::string, Count, std::less<>> m_counts;
+    };
+
+    std::atomic<LineLimiter*> s_limiter = nullptr;
+
+    log4cxx::LayoutPtr layoutFor(const std::string& daemon)
+    {
+        return std::make_shared<log4cxx::PatternLayout>("time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p daemon=" + daemon + " %m%n");
+    }
+
+    void setAppender(const log4cxx::AppenderPtr& appender, LogLevel level)
+    {
+        logger()->removeAllAppenders();
+        logger()->addAppender(appender);
+        logger()->setAdditivity(false);
+        logger()->setLevel(toLevel(level));
+    }
+
 } // namespace
 
+void configureBoundedLogging(LogLevel level, const std::string& daemon)
+{
+    static LineLimiter s_lineLimiter;
+    s_limiter = &s_lineLimiter;
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layoutFor(daemon), log4cxx::ConsoleAppender::getSystemOut());
+    const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+    buffered->setBufferSize(maxWaitingLines);
+    buffered->setBlocking(false);
+    buffered->addAppender(console);
+    setAppender(buffered, level);
+}
+
 void configureLogging(LogLevel level, const std::string& daemon)
 {
-    auto layout = std::make_shared<log4cxx::PatternLayout>("time=%d{yyyy-MM-dd}T%d{HH:mm:ss.SSS} level=%p daemon=" + daemon + " %m%n");
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    logger()->removeAllAppenders();
-    logger()->addAppender(appender);
-    logger()->setAdditivity(false);
-    logger()->setLevel(toLevel(level));
+    setAppender(std::make_shared<log4cxx::ConsoleAppender>(layoutFor(daemon), log4cxx::ConsoleAppender::getSystemErr()), level);
 }
 
 std::string formatLogLine(std::string_view event, std::initializer_list<LogField> fields)
@@ -82,6 +145,14 @@
     const auto target = toLevel(level);
     if (!logger()->isEnabledFor(target))
         return;
+    if (auto* limiter = s_limiter.load()) {
+        unsigned leftOut = 0;
+        const bool isAdmitted = limiter->admit(event, level, leftOut);
+        if (leftOut > 0)
+            logger()->forcedLog(target, formatLogLine("lines_left_out", { { "of", event }, { "count", leftOut } }), LOG4CXX_LOCATION);
+        if (!isAdmitted)
+            return;
+    }
     logger()->forcedLog(target, formatLogLine(event, fields), LOG4CXX_LOCATION);
 }
 
--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -2,6 +2,7 @@
 
 #include "node/FleetInventory.h"
 #include "node/Leadership.h"
+#include "node/NodeMetrics.h"
 #include "node/OperatorView.h"
 #include "node/WorkerCalls.h"
 #include "scheduler/Scheduler.h"
@@ -29,6 +30,7 @@
     // Null where the platform has none.
     FleetInventory* inventory;
     const Clock& clock;
+    NodeMetrics& metrics;
 };
 
 // Work of the leader for one term: reads all records, then follows jobs, workers and configuration, and carries out what the
@@ -70,6 +72,8 @@
     void onCommitResult(const std::vector<std::pair<scheduler::GraphJobId, scheduler::ProgressVersion>>&, MonotonicTime sentAt,
         const Expected<Revision, TransactionFailure>&);
     void onConflict(const std::vector<std::pair<scheduler::GraphJobId, scheduler::ProgressVersion>>&, const std::vector<StoreItem>&);
+    void reportEnd(scheduler::Job&);
+    void reportFirstStart(const scheduler::RunRef&);
     void removeExpired();
     void readInventory();
     void publishPending();
@@ -82,6 +86,7 @@
     WorkerCalls& m_calls;
     FleetInventory* m_inventory;
     const Clock& m_clock;
+    NodeMetrics& m_metrics;
     const Formats& m_formats;
     const OperatorView& m_operators;
     Leadership& m_leadership;
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -90,6 +90,7 @@
     , m_calls(ports.calls)
     , m_inventory(ports.inventory)
     , m_clock(ports.clock)
+    , m_metrics(ports.metrics)
     , m_formats(formats)
     , m_operators(operators)
     , m_leadership(leadership)
@@ -239,6 +240,7 @@
     m_isScheduling = true;
     addStoredJobs();
     const auto took = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_state.termStartedAt);
+    m_metrics.observeTakeover(took);
     logEvent(LogLevel::Info, "scheduling_begins",
         { { "term", m_state.term }, { "jobs", m_state.jobs.size() }, { "active", m_state.active.size() },
             { "workers", m_state.workers.size() }, { "took_ms", took.count() } });
@@ -328,6 +330,8 @@
         if (self->m_isStopped)
             return;
         scheduler::onStartResult(self->m_state, run, result, self->m_clock.now(), self->m_orders);
+        if (result == scheduler::StartResult::Started)
+            self->reportFirstStart(run);
         self->requestTurn();
     };
     const bool isOpen = worker->isListed && !worker->isDraining && !m_state.closedDomains.contains(worker->domain);
@@ -393,8 +397,31 @@
         });
 }
 
+void Coordinator::reportFirstStart(const scheduler::RunRef& run)
+{
+    auto* job = scheduler::findJob(m_state, run.task.job);
+    if (!job || std::exchange(job->isFirstStartReported, true))
+        return;
+    const auto delay = std::chrono::duration_cast<Milliseconds>(m_clock.now() - job->arrivedAt);
+    m_metrics.observeFirstStart(delay);
+    logEvent(LogLevel::Info, "job_started", { { "job", job->id }, { "delay_ms", delay.count() }, { "term", m_state.term } });
+}
+
+void Coordinator::reportEnd(scheduler::Job& job)
+{
+    if (!scheduler::hasEnded(job) || !job.spec || std::exchange(job.isEndReported, true))
+        return;
+    const Milliseconds took(job.endedWallMs - job.spec->accepted_at_ms);
+    const auto late = std::chrono::duration_cast<Milliseconds>(m_clock.now() - job.dueAt);
+    const char* state = schema::EnumNameJobState(job.state);
+    m_metrics.observeJob(state, std::max(took, Milliseconds(0)));
+    logEvent(LogLevel::Info, "job_ended",
+        { { "job", job.id }, { "state", state }, { "took_ms", took.count() }, { "past_due_ms", late.count() }, { "term", m_state.term } });
+}
+
 void Coordinator::carryOut(const scheduler::Decision& decision)
 {
+    m_metrics.countDecision(decision.event, decision.event == "pace_changed" ? "slack" : decision.reason);
     logEvent(LogLevel::Info, decision.event,
         { { "run", decision.run }, { "worker", decision.worker }, { "reason", decision.reason }, { "figure", decision.figure },
             { "input_age_ms", decision.inputAge.count() }, { "term", m_state.term } });
@@ -457,10 +484,14 @@
     const auto now = m_clock.now();
     if (result) {
         m_leadership.confirm(sentAt);
-        for (const auto& [id, version] : jobs)
+        m_metrics.observeCommit("done", std::chrono::duration_cast<Milliseconds>(now - sentAt));
+        for (const auto& [id, version] : jobs) {
             scheduler::onCommitted(m_state, id, version, *result, now, m_orders);
+            reportEnd(*scheduler::findJob(m_state, id));
+        }
         return requestTurn();
     }
+    m_metrics.observeCommit(toString(result.error().error), std::chrono::duration_cast<Milliseconds>(now - sentAt));
     logEvent(LogLevel::Warning, "commit_failed",
         { { "reason", toString(result.error().error) }, { "jobs", jobs.size() },
             { "took_ms", std::chrono::duration_cast<Milliseconds>(now - sentAt).count() } });
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -50,12 +50,14 @@
 void Node::lead(Revision term)
 {
     follow();
+    m_ports.metrics.setLeading(true);
     m_coordinator = std::make_shared<Coordinator>(m_loop, m_ports, m_formats, m_operators, m_leadership, m_settings.scheduler, term);
     m_coordinator->start();
 }
 
 void Node::follow()
 {
+    m_ports.metrics.setLeading(false);
     if (m_coordinator)
         m_coordinator->stop();
     m_coordinator.reset();
--- /dev/null
+++ b/libs/node/src/NodeMetrics.cpp
@@ -0,0 +1,81 @@
+#include "node/NodeMetrics.h"
+
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace kingcuploom::node {
+
+namespace {
+
+    // Seconds. From a store call to the longest job.
+    prometheus::Histogram::BucketBoundaries latencyBuckets() { return { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60 }; }
+
+    double seconds(Milliseconds time) { return static_cast<double>(time.count()) / 1000; }
+
+    prometheus::Family<prometheus::Histogram>& histogram(prometheus::Registry& registry, const char* name, const char* help)
+    {
+        return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+    }
+
+} // namespace
+
+struct NodeMetrics::State {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& decisions
+        = prometheus::BuildCounter().Name("kingcuploom_decisions_total").Help("Decisions of the scheduler").Register(registry);
+    prometheus::Family<prometheus::Histogram>& requests
+        = histogram(registry, "kingcuploom_request_duration_seconds", "Time of answers to callers");
+    prometheus::Family<prometheus::Histogram>& commits
+        = histogram(registry, "kingcuploom_commit_duration_seconds", "Time of commits of job progress");
+    prometheus::Family<prometheus::Histogram>& firstStarts
+        = histogram(registry, "kingcuploom_first_start_delay_seconds", "From first sight of a job to its first start");
+    prometheus::Family<prometheus::Histogram>& jobs
+        = histogram(registry, "kingcuploom_job_duration_seconds", "From the acceptance of a job to its end");
+    prometheus::Family<prometheus::Histogram>& takeovers
+        = histogram(registry, "kingcuploom_takeover_duration_seconds", "From winning the term to scheduling");
+    prometheus::Gauge& leading
+        = prometheus::BuildGauge().Name("kingcuploom_leading").Help("1 while this node leads").Register(registry).Add({});
+
+    void observe(prometheus::Family<prometheus::Histogram>& family, const std::map<std::string, std::string>& labels, Milliseconds time)
+    {
+        family.Add(labels, latencyBuckets()).Observe(seconds(time));
+    }
+};
+
+NodeMetrics::NodeMetrics()
+    : m_state(std::make_unique<State>())
+{
+}
+
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::countDecision(const std::string& event, const std::string& reason)
+{
+    m_state->decisions.Add({ { "event", event }, { "reason", reason } }).Increment();
+}
+
+void NodeMetrics::observeRequest(const std::string& method, const std::string& status, Milliseconds took)
+{
+    m_state->observe(m_state->requests, { { "method", method }, { "status", status } }, took);
+}
+
+void NodeMetrics::observeCommit(const std::string& outcome, Milliseconds took)
+{
+    m_state->observe(m_state->commits, { { "outcome", outcome } }, took);
+}
+
+void NodeMetrics::observeFirstStart(Milliseconds time) { m_state->observe(m_state->firstStarts, {}, time); }
+
+void NodeMetrics::observeJob(const std::string& state, Milliseconds time) { m_state->observe(m_state->jobs, { { "state", state } }, time); }
+
+void NodeMetrics::observeTakeover(Milliseconds time) { m_state->observe(m_state->takeovers, {}, time); }
+
+void NodeMetrics::setLeading(bool isLeading) { m_state->leading.Set(isLeading ? 1 : 0); }
+
+std::string NodeMetrics::text() const { return prometheus::TextSerializer().Serialize(m_state->registry.Collect()); }
+
+} // namespace kingcuploom::node
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -147,6 +147,9 @@
     std::optional<MonotonicTime> endedAt;
     std::int64_t endedWallMs = 0;
     bool isCancelRequested = false;
+    // Told to the log and the metrics.
+    bool isFirstStartReported = false;
+    bool isEndReported = false;
 
     ProgressVersion version;
     ProgressVersion committed;
--- a/tools/kingcuploomd/OnPlatform.cpp
+++ b/tools/kingcuploomd/OnPlatform.cpp
@@ -18,7 +18,7 @@
         const auto signals = blockShutdownSignals();
         // The fields that this program uses do not change while a process runs.
         std::signal(SIGHUP, SIG_IGN);
-        configureLogging(LogLevel::Info, file.node);
+        configureBoundedLogging(LogLevel::Info, file.node);
         platform::PlatformDaemon daemon(file);
         if (!daemon.start())
             return StartFailed;
