--- /dev/null
+++ b/libs/node/tests/FakeAsyncStore.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "node/AsyncStore.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+
+namespace kingcuploom::node::test {
+
+// The store in memory, on the same event loop. Can refuse calls, lose answers after the write, and forget its history.
+class FakeAsyncStore final : public AsyncStore {
+public:
+    explicit FakeAsyncStore(boost::asio::io_context& loop)
+        : m_loop(loop)
+    {
+    }
+
+    bool isRefusing = false;
+    // Of the next commits: carried out, and not answered.
+    int lostAnswers = 0;
+    bool isHistoryLost = false;
+    std::size_t pageSize = 500;
+    int commits = 0;
+
+    void put(const std::string& key, const std::string& value, LeaseId lease = {})
+    {
+        ++m_revision;
+        m_items[key] = { key, value, Revision(m_revision) };
+        m_leases[key] = lease;
+        m_history.push_back({ key, value, Revision(m_revision) });
+    }
+
+    void remove(const std::string& key)
+    {
+        if (m_items.erase(key) == 0)
+            return;
+        ++m_revision;
+        m_history.push_back({ key, std::nullopt, Revision(m_revision) });
+    }
+
+    std::optional<StoreItem> find(const std::string& key) const
+    {
+        const auto it = m_items.find(key);
+        return it == m_items.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    void get(const std::string& key, StoreCallback<std::optional<StoreItem>> callback) override
+    {
+        answer(callback, isRefusing ? Expected<std::optional<StoreItem>, StoreError>(makeUnexpected(StoreError::Refused)) : find(key));
+    }
+
+    void list(const std::string& prefix, const std::string& after, StoreCallback<StorePage> callback) override
+    {
+        if (isRefusing)
+            return answer(callback, Expected<StorePage, StoreError>(makeUnexpected(StoreError::Refused)));
+        StorePage page;
+        page.asOf = Revision(m_revision);
+        for (const auto& [key, item] : m_items) {
+            if (!key.starts_with(prefix) || key <= after)
+                continue;
+            page.hasMore = page.items.size() == pageSize;
+            if (page.hasMore)
+                break;
+            page.items.push_back(item);
+        }
+        answer(callback, Expected<StorePage, StoreError>(page));
+    }
+
+    void watch(const std::string& prefix, Revision after, Milliseconds, StoreCallback<StoreEvents> callback) override
+    {
+        constexpr Milliseconds pause { 2 };
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, pause);
+        timer->async_wait([this, timer, prefix, after, callback = std::move(callback)](const boost::system::error_code&) {
+            if (isRefusing)
+                return callback(makeUnexpected(StoreError::Refused));
+            if (std::exchange(isHistoryLost, false))
+                return callback(makeUnexpected(StoreError::HistoryGone));
+            StoreEvents events;
+            events.asOf = Revision(m_revision);
+            std::ranges::copy_if(m_history, std::back_inserter(events.events),
+                [&](const StoreEvent& event) { return event.revision > after && event.key.starts_with(prefix); });
+            callback(events);
+        });
+    }
+
+    void commit(const Transaction& transaction, StoreCallback<Revision, TransactionFailure> callback) override
+    {
+        using Result = Expected<Revision, TransactionFailure>;
+        ++commits;
+        if (isRefusing)
+            return answer(callback, Result(makeUnexpected(TransactionFailure { StoreError::Refused, {} })));
+        TransactionFailure conflict { StoreError::Conflict, {} };
+        bool isHeld = true;
+        for (const auto& condition : transaction.conditions) {
+            const auto item = find(condition.key);
+            isHeld = isHeld && (item ? item->revision : Revision()) == condition.revision;
+            if (item)
+                conflict.current.push_back(*item);
+        }
+        if (!isHeld)
+            return answer(callback, Result(makeUnexpected(conflict)));
+        ++m_revision;
+        for (const auto& write : transaction.writes) {
+            m_items[write.key] = { write.key, write.value, Revision(m_revision) };
+            m_leases[write.key] = write.lease;
+            m_history.push_back({ write.key, write.value, Revision(m_revision) });
+        }
+        for (const auto& key : transaction.removals) {
+            if (m_items.erase(key) > 0)
+                m_history.push_back({ key, std::nullopt, Revision(m_revision) });
+        }
+        if (lostAnswers > 0) {
+            --lostAnswers;
+            return answer(callback, Result(makeUnexpected(TransactionFailure { StoreError::NoAnswer, {} })));
+        }
+        answer(callback, Result(Revision(m_revision)));
+    }
+
+    void grantLease(Milliseconds, StoreCallback<LeaseId> callback) override
+    {
+        answer(callback, isRefusing ? Expected<LeaseId, StoreError>(makeUnexpected(StoreError::Refused)) : LeaseId(++m_lastLease));
+    }
+
+    void keepLease(LeaseId lease, StoreCallback<Done> callback) override
+    {
+        const bool isKnown = std::ranges::any_of(m_leases, [&](const auto& entry) { return entry.second == lease; });
+        answer(callback, isKnown ? Expected<Done, StoreError>(Done {}) : makeUnexpected(StoreError::LeaseGone));
+    }
+
+    void endLease(LeaseId lease, StoreCallback<Done> callback) override
+    {
+        lapse(lease);
+        answer(callback, Expected<Done, StoreError>(Done {}));
+    }
+
+    // The keys under the lease are removed.
+    void lapse(LeaseId lease)
+    {
+        const auto leases = m_leases;
+        for (const auto& [key, keyLease] : leases) {
+            if (keyLease == lease) {
+                remove(key);
+                m_leases.erase(key);
+            }
+        }
+    }
+
+    LeaseId leaseOf(const std::string& key) const { return m_leases.at(key); }
+
+private:
+    template <typename Callback, typename Result> void answer(const Callback& callback, Result result)
+    {
+        boost::asio::post(m_loop, [callback, result] { callback(result); });
+    }
+
+    boost::asio::io_context& m_loop;
+    std::map<std::string, StoreItem> m_items;
+    std::map<std::string, LeaseId> m_leases;
+    std::vector<StoreEvent> m_history;
+    std::int64_t m_revision = 1;
+    std::int64_t m_lastLease = 0;
+};
+
+} // namespace kingcuploom::node::test
--- /dev/null
+++ b/libs/node/tests/NodeTests.cpp
@@ -0,0 +1,233 @@
+#include "FakeAsyncStore.h"
+
+#include "base/BootClock.h"
+#include "node/Coordinator.h"
+#include "node/JobService.h"
+#include "node/Leadership.h"
+#include "node/OperatorView.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace kingcuploom;
+using namespace kingcuploom::node;
+using namespace kingcuploom::node::test;
+
+namespace {
+
+constexpr Milliseconds patience { 5000 };
+
+schema::GraphJobSpecT specOf(const std::string& id)
+{
+    schema::GraphJobSpecT spec;
+    spec.job = id;
+    spec.queue = "host/queue/";
+    spec.policy = std::make_unique<schema::QueuePolicyT>();
+    return spec;
+}
+
+// Runs the loop until the condition holds.
+bool runUntil(boost::asio::io_context& loop, const std::function<bool()>& condition)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+        loop.restart();
+        loop.run_for(Milliseconds(2));
+    }
+    return condition();
+}
+
+// JobService blocks its callers, so the loop runs on a thread of its own.
+struct ServiceFixture {
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store { loop };
+    BootClock clock;
+    JobService jobs { loop, store, clock };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard { loop.get_executor() };
+    std::thread thread { [this] { loop.run(); } };
+
+    ~ServiceFixture()
+    {
+        guard.reset();
+        loop.stop();
+        thread.join();
+    }
+};
+
+struct LeaderFixture {
+    explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1)
+        : leadership(loop, store, clock, { name, incarnation, 0.5, incarnation },
+            { [this](Revision newTerm) { term = newTerm; }, [this] { term.reset(); } })
+    {
+    }
+
+    BootClock clock;
+    std::optional<Revision> term;
+    Leadership leadership;
+};
+
+Formats plainFormats()
+{
+    Formats formats;
+    formats.operatorPrefix = "op/";
+    formats.decodeOperator = [](const std::string& key, const std::string& value) -> Expected<OperatorDocument, FormatError> {
+        if (key != "op/config")
+            return OperatorDocument(DomainClosure { FailureDomain(value) });
+        if (value.empty())
+            return makeUnexpected(FormatError::NotReadable);
+        Configuration configuration;
+        configuration.version = std::stoll(value);
+        return OperatorDocument(configuration);
+    };
+    return formats;
+}
+
+} // namespace
+
+TEST_CASE("A submission whose answer was lost is repeated and stored once")
+{
+    // Guards against: a refusal of a job that was stored and would run.
+    ServiceFixture fixture;
+    fixture.store.lostAnswers = 1;
+    CHECK(fixture.jobs.submit(specOf("a"), patience) == SubmitOutcome::Accepted);
+    CHECK(fixture.store.commits == 2);
+    CHECK(fixture.store.find(jobKey(scheduler::GraphJobId("a"))));
+}
+
+TEST_CASE("A submission that the store refuses is refused at once and is not stored")
+{
+    ServiceFixture fixture;
+    fixture.store.isRefusing = true;
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(fixture.jobs.submit(specOf("a"), patience) == SubmitOutcome::NotAccepted);
+    CHECK(std::chrono::steady_clock::now() - begin < patience / 2);
+    CHECK(!fixture.store.find(jobKey(scheduler::GraphJobId("a"))));
+}
+
+TEST_CASE("The same job handed in again, also after its end, is one job")
+{
+    ServiceFixture fixture;
+    fixture.store.put(runKey(scheduler::GraphJobId("a")), encodeProgress({}));
+    CHECK(fixture.jobs.submit(specOf("a"), patience) == SubmitOutcome::Accepted);
+    CHECK(!fixture.store.find(jobKey(scheduler::GraphJobId("a"))));
+}
+
+TEST_CASE("Cancels and states of unknown, accepted and ended jobs")
+{
+    ServiceFixture fixture;
+    const scheduler::GraphJobId id("a");
+    CHECK(fixture.jobs.cancel(id, patience) == CancelOutcome::NoSuchJob);
+    CHECK(fixture.jobs.state(id, patience).error() == QueryError::NoSuchJob);
+    REQUIRE(fixture.jobs.submit(specOf("a"), patience) == SubmitOutcome::Accepted);
+    CHECK(fixture.jobs.state(id, patience).value() == schema::JobState::Queued);
+    CHECK(fixture.jobs.cancel(id, patience) == CancelOutcome::Cancelled);
+    CHECK(fixture.store.find(cancelKey(id)));
+    schema::GraphJobProgressT progress;
+    progress.state = schema::JobState::Completed;
+    fixture.store.put(runKey(id), encodeProgress(progress));
+    CHECK(fixture.jobs.state(id, patience).value() == schema::JobState::Completed);
+}
+
+TEST_CASE("One of two candidates leads, and the other after it has gone")
+{
+    // Guards against: a candidate replaced the first leader, because it took over the holder's revision while its lease was granted.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture first(loop, store, "first");
+    LeaderFixture second(loop, store, "second", 2);
+    first.leadership.start();
+    second.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return first.term || second.term; }));
+    loop.restart();
+    loop.run_for(Milliseconds(300));
+    CHECK(first.term.has_value() != second.term.has_value());
+    auto& leader = first.term ? first : second;
+    auto& other = first.term ? second : first;
+    leader.leadership.resign([] {});
+    CHECK(runUntil(loop, [&] { return other.term.has_value(); }));
+    CHECK(!leader.term);
+}
+
+TEST_CASE("A claim whose answer was lost is recognized as the own one")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    store.lostAnswers = 1;
+    LeaderFixture leader(loop, store, "first");
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    CHECK(store.find(Leadership::termKey)->revision == *leader.term);
+}
+
+TEST_CASE("A restarted node takes over from its earlier process without waiting for the lease")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    auto before = std::make_unique<LeaderFixture>(loop, store, "first", 1);
+    before->leadership.start();
+    REQUIRE(runUntil(loop, [&] { return before->term.has_value(); }));
+    const auto earlier = *before->term;
+    LeaderFixture after(loop, store, "first", 2);
+    after.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return after.term.has_value(); }));
+    CHECK(*after.term > earlier);
+    CHECK(runUntil(loop, [&] { return !before->term; }));
+}
+
+TEST_CASE("A leader whose lease lapsed unseen keeps its term when no other has taken it")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture leader(loop, store, "first");
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    const auto term = *leader.term;
+    store.lapse(store.leaseOf(Leadership::holderKey));
+    REQUIRE(runUntil(loop, [&] { return store.find(Leadership::holderKey).has_value(); }));
+    CHECK(leader.term == term);
+}
+
+TEST_CASE("The configuration never goes back, and closed domains follow the store over a lost history")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    BootClock clock;
+    const auto formats = plainFormats();
+    store.put("op/config", "7");
+    store.put("op/evacuate/north", "north");
+    OperatorView view(loop, store, clock, formats, [] {});
+    view.start();
+    REQUIRE(runUntil(loop, [&] { return view.snapshot()->configuration.has_value(); }));
+    CHECK(view.snapshot()->closedDomains.contains(FailureDomain("north")));
+    store.put("op/config", "5");
+    store.put("op/config", "");
+    store.isHistoryLost = true;
+    store.remove("op/evacuate/north");
+    REQUIRE(runUntil(loop, [&] { return view.snapshot()->closedDomains.empty(); }));
+    CHECK(view.snapshot()->configuration->version == 7);
+    store.put("op/config", "9");
+    CHECK(runUntil(loop, [&] { return view.snapshot()->configuration->version == 9; }));
+    view.stop();
+}
+
+TEST_CASE("A prefix of many pages is mirrored as a whole")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    BootClock clock;
+    store.pageSize = 3;
+    for (int i = 0; i < 10; ++i)
+        store.put("x/" + std::to_string(i), "value");
+    std::set<std::string> seen;
+    bool isCurrent = false;
+    const auto mirror = std::make_shared<PrefixMirror>(loop, store, clock, "x/", Milliseconds(100),
+        MirrorEvents { [&](const std::string& key, const auto&, Revision) { seen.insert(key); }, [&](MonotonicTime) { isCurrent = true; },
+            [](StoreError) {} });
+    mirror->start();
+    REQUIRE(runUntil(loop, [&] { return isCurrent; }));
+    CHECK(seen.size() == 10);
+    mirror->stop();
+    loop.restart();
+    loop.run_for(Milliseconds(20));
+}
