--- a/build.sh
+++ b/build.sh
@@ -62,7 +62,7 @@
 build_deployed() {
     deps=$PWD/target/deps
     unpack_prometheus
-    [ -e target/build.ninja ] || cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=Release -DKC_BENCHMARKS=OFF -DKC_PLATFORM_ONLY=ON \
+    [ -e target/build.ninja ] || cmake -S . -B target -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DKC_BENCHMARKS=OFF -DKC_PLATFORM_ONLY=ON \
         -DKC_DEPS_DIR="$deps" >/dev/null
     ninja -C target -j "$jobs" kingcuploomd
 }
--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -1,7 +1,5 @@
 add_library(kc_options INTERFACE)
 target_compile_options(kc_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-missing-field-initializers)
-# gcc 12 reports overlapping copies in concatenations of strings that cannot overlap (gcc bug 105651).
-target_compile_options(kc_options INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 if(KC_SANITIZE)
     # Without optimisation the seeded simulations take more than five minutes.
     target_compile_options(kc_options INTERFACE -fsanitize=${KC_SANITIZE} -fno-omit-frame-pointer -O1)
--- a/libs/base/src/Log.cpp
+++ b/libs/base/src/Log.cpp
@@ -93,7 +93,7 @@
         std::map<std::string, Count, std::less<>> m_counts;
     };
 
-    std::atomic<LineLimiter*> s_limiter = nullptr;
+    std::atomic<LineLimiter*> limiter = nullptr;
 
     log4cxx::LayoutPtr layoutFor(const std::string& daemon)
     {
@@ -113,7 +113,7 @@
 void configureBoundedLogging(LogLevel level, const std::string& daemon)
 {
     static LineLimiter s_lineLimiter;
-    s_limiter = &s_lineLimiter;
+    limiter = &s_lineLimiter;
     const auto console = std::make_shared<log4cxx::ConsoleAppender>(layoutFor(daemon), log4cxx::ConsoleAppender::getSystemOut());
     const auto buffered = std::make_shared<log4cxx::AsyncAppender>();
     buffered->setBufferSize(maxWaitingLines);
@@ -145,9 +145,9 @@
     const auto target = toLevel(level);
     if (!logger()->isEnabledFor(target))
         return;
-    if (auto* limiter = s_limiter.load()) {
+    if (auto* active = limiter.load()) {
         unsigned leftOut = 0;
-        const bool isAdmitted = limiter->admit(event, level, leftOut);
+        const bool isAdmitted = active->admit(event, level, leftOut);
         if (leftOut > 0)
             logger()->forcedLog(target, formatLogLine("lines_left_out", { { "of", event }, { "count", leftOut } }), LOG4CXX_LOCATION);
         if (!isAdmitted)
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -25,7 +25,6 @@
     constexpr double otherImageWeight = 0.8;
     constexpr double suspicionWeight = 2.0;
     constexpr double farWeight = 1.5;
-    constexpr double rackWeight = 0.05;
     // A worker that has not answered for this time gets no task.
     constexpr Milliseconds silenceLimit { 2800 };
     // A copy is started when a run has taken this much of its estimate, and a little more.
@@ -132,7 +131,8 @@
         const auto& step = stepSpecOf(job, ref.step);
         const ServiceName service(policyOf(state, job).service);
         Candidate best { nullptr, -std::numeric_limits<double>::infinity() };
-        for (auto& [id, worker] : state.workers) {
+        for (auto& entry : state.workers) {
+            auto& worker = entry.second;
             if ((rack && worker.rack != *rack) || !mayRun(state, worker, service, step, ref, now))
                 continue;
             if (step.fills && !canFill(state, worker, step, job.images[ref.step]))
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -74,7 +74,7 @@
 
 void SchedulerWorld::post(MonotonicTime at, std::function<void()> deliver) { m_messages.push_back({ at, std::move(deliver) }); }
 
-void SchedulerWorld::submit(std::shared_ptr<schema::GraphJobSpecT> spec)
+void SchedulerWorld::submit(const std::shared_ptr<schema::GraphJobSpecT>& spec)
 {
     spec->accepted_at_ms = wallMs();
     m_store[spec->job].spec = spec;
@@ -229,14 +229,12 @@
     }
     worker.fence = std::max(worker.fence, fence);
     const auto closed = worker.closed.find(ref.task);
+    const bool isClosed = closed != worker.closed.end() && ref.run <= closed->second;
+    result = StartResult::Started;
     if (leaseEnd < m_now)
         result = StartResult::Late;
-    else if (worker.running.contains(ref))
-        result = StartResult::Started;
-    else if (closed != worker.closed.end() && ref.run <= closed->second)
+    else if (!worker.running.contains(ref) && isClosed)
         result = StartResult::Old;
-    else
-        result = StartResult::Started;
     if (result == StartResult::Started && !worker.running.contains(ref)) {
         const auto& spec = *m_store.at(ref.task.job.value()).spec;
         const auto& step = *spec.steps[ref.task.step];
@@ -367,7 +365,7 @@
     });
 }
 
-void SchedulerWorld::carryOut(Orders orders)
+void SchedulerWorld::carryOut(const Orders& orders)
 {
     for (const auto& order : orders) {
         if (const auto* startOrder = std::get_if<StartOrder>(&order))
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -51,7 +51,7 @@
 public:
     explicit SchedulerWorld(unsigned workerCount, std::uint64_t seed = 1, Chances = {}, Guards = {});
 
-    void submit(std::shared_ptr<schema::GraphJobSpecT>);
+    void submit(const std::shared_ptr<schema::GraphJobSpecT>&);
     void cancel(const std::string& job);
     void step(Milliseconds = Milliseconds(20));
     void run(Milliseconds);
@@ -112,7 +112,7 @@
     void listWorkers();
     void work(Milliseconds);
     void endRun(FakeWorker&, const RunRef&, EndKind);
-    void carryOut(Orders);
+    void carryOut(const Orders&);
     void send(const StartOrder&);
     void send(const StopOrder&);
     void send(const LookOrder&);
