--- a/libs/daemon/include/daemon/OperatorApi.h
+++ b/libs/daemon/include/daemon/OperatorApi.h
@@ -12,7 +12,7 @@
 
 namespace kingcuploom {
 
-// HTTP routes of operators and monitoring (docs/operators.md lists them). Owns no state of the system. Thread-safe.
+// HTTP routes of operators and monitoring (docs/OPERATIONS.md lists them). Owns no state of the system. Thread-safe.
 class OperatorApi {
 public:
     // Used by reference for the lifetime of the OperatorApi.
--- a/libs/daemon/src/OperatorParameters.cpp
+++ b/libs/daemon/src/OperatorParameters.cpp
@@ -64,7 +64,7 @@
     return { 401, "key_refused", "the header X-Kingcuploom-Key is missing or wrong", "use the operator key of this installation" };
 }
 
-ApiError noSuchRoute() { return { 404, "no_such_route", "no such path", "see docs/operators.md for the paths" }; }
+ApiError noSuchRoute() { return { 404, "no_such_route", "no such path", "see docs/OPERATIONS.md for the paths" }; }
 
 Expected<std::string, ApiError> actorOf(const http::Request& request)
 {
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -372,6 +372,9 @@
         if (!end.checkpoint.empty())
             task->checkpoint = end.checkpoint;
         releaseRun(state, end.run, now);
+        const auto ran = std::chrono::duration_cast<Milliseconds>(now - run.createdAt);
+        orders.emplace_back(
+            Decision { std::string("run_") + toString(end.kind), toString(end.run), worker.id, "end_listed", {}, ran.count() });
         noteEnd(state, worker, *job, *task, run, end.kind, now, orders);
         if (hasEnded(*job) || task->isDone)
             return;
