--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -17,9 +17,10 @@
     constexpr double paceWeight = 1.0;
     // For the slack that the serving tasks of the worker are expected to lose, summed.
     constexpr double disturbanceWeight = 0.7;
-    // A filling task waits when it could work only at less than this share, or when less is left over than this share of a worker.
+    // A filling task waits when it could work only at less than this share, or when less is left over than this share of a worker. It is
+    // below zero because declared sizes are larger than what tasks use.
     constexpr double leastExpectedPace = 0.6;
-    constexpr double leastLeftOver = 0.0;
+    constexpr double leastLeftOver = -0.1;
     // Serving tasks of one image are kept together, so that each filling image finds workers with no task that it disturbs.
     constexpr double sameImageWeight = 1.0;
     constexpr double otherImageWeight = 0.8;
