--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -25,7 +25,7 @@
 // new leader rewrites, decides whose commits take effect. Runs on the event loop's thread.
 class Leadership {
 public:
-    static constexpr char holderKey[] = "kc/lead/holder";
+    static constexpr char holderKey[] = "kc/lead/node";
     static constexpr char termKey[] = "kc/lead/term";
 
     Leadership(boost::asio::io_context&, AsyncStore&, const Clock&, LeadershipSettings, LeadershipEvents);
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -353,7 +353,7 @@
         { worker->id, worker->address }, order.run, m_state.term, [self = shared_from_this(), order](scheduler::StopResult result) {
             if (self->m_isStopped)
                 return;
-            scheduler::onStopResult(self->m_state, order.run, order.worker, result, self->m_clock.now());
+            scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now());
             self->requestTurn();
         });
 }
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -67,7 +67,6 @@
     NoProgress,
     WorkerLeaving,
     StartUnclear,
-    TooSlow,
 };
 
 const char* toString(StopReason);
@@ -113,8 +112,6 @@
     // Not placed before this time.
     MonotonicTime notBefore;
     std::vector<WorkerId> failedOn;
-    // A run that ends now was stopped for the good of the task and is no failure of the worker.
-    std::uint32_t restarts = 0;
 };
 
 struct Step {
@@ -183,7 +180,6 @@
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
     MonotonicTime avoidUntil;
-    std::optional<MonotonicTime> quarantinedAt;
     MonotonicTime quarantinedUntil;
     unsigned quarantines = 0;
     // One task at a time until one is done.
@@ -253,10 +249,7 @@
     Milliseconds lease { 7500 };
     // A leader without an answer of the store extends no lease after this time.
     Milliseconds storeSilenceLimit { 5000 };
-    Milliseconds stopLimit { 400 };
-    Milliseconds checkpointInterval { 500 };
     Milliseconds jobRetention { 130'000 };
-    Milliseconds earlyLimit { 250 };
     // Clocks of workers may be this much slow, percent.
     int clockSlowPercent = 2;
 };
--- a/libs/scheduler/include/scheduler/Placement.h
+++ b/libs/scheduler/include/scheduler/Placement.h
@@ -10,7 +10,4 @@
 // Starts copies of speculative tasks whose run is late, or on a worker that does not answer.
 void placeCopies(State&, MonotonicTime now, Orders&);
 
-// Some worker of the fleet is large enough, with the label that the step asks for.
-bool fitsFleet(const State&, const ServiceName&, const schema::StepSpecT&);
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -16,7 +16,7 @@
 void stopRunsOf(State&, const Job&, StopReason, MonotonicTime now, Orders&);
 
 void onStartResult(State&, const RunRef&, StartResult, MonotonicTime now, Orders&);
-void onStopResult(State&, const RunRef&, const WorkerId&, StopResult, MonotonicTime now);
+void onStopResult(State&, const RunRef&, StopResult, MonotonicTime now);
 void onEnd(State&, Worker&, const ListedEnd&, MonotonicTime now, std::int64_t wallMs, Orders&);
 
 // Moves the cursor of ends past those whose consequences are stored.
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -38,7 +38,6 @@
         if ((quarantinedCount(state, now) + 1) * 100 > state.workers.size() * maxQuarantinePercent)
             return;
         const auto doublings = std::min(worker.health.quarantines++, maxQuarantineDoublings);
-        worker.health.quarantinedAt = now;
         worker.health.quarantinedUntil = now + quarantineTime * (1 << doublings);
         worker.health.isOnProbation = true;
         const auto failures = static_cast<std::int64_t>(worker.health.recentFailures.size());
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -25,11 +25,9 @@
     case StopReason::WorkerLeaving:
         return "worker_leaving";
     case StopReason::StartUnclear:
-        return "start_unclear";
-    case StopReason::TooSlow:
         break;
     }
-    return "too_slow";
+    return "start_unclear";
 }
 
 Amounts& Amounts::operator+=(const Amounts& other)
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -295,12 +295,4 @@
     }
 }
 
-bool fitsFleet(const State& state, const ServiceName& service, const schema::StepSpecT& step)
-{
-    return std::ranges::any_of(state.workers, [&](const auto& entry) {
-        const auto& worker = entry.second;
-        return worker.service == service && needOf(step).fitsInto(worker.capacity) && hasLabel(worker, step.required_label);
-    });
-}
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -334,7 +334,7 @@
     }
 }
 
-void onStopResult(State& state, const RunRef& ref, const WorkerId&, StopResult result, MonotonicTime now)
+void onStopResult(State& state, const RunRef& ref, StopResult result, MonotonicTime now)
 {
     auto* run = findRun(state, ref);
     if (!run || run->phase != RunPhase::Stopping)
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -290,7 +290,7 @@
     const bool isAnswerLost = happens(m_chances.lostAnswer);
     const auto answer = [this, generation, order](StopResult result) {
         if (generation == m_generation)
-            onStopResult(m_state, order.run, order.worker, result, m_now);
+            onStopResult(m_state, order.run, result, m_now);
     };
     post(arrival(), [=, this] {
         auto& target = fake(order.worker);
