Report why a standing task isn't executed, and how late the event loop is

The logs could not tell apart why a placed run had not become a start: 'not_sent' stood for four reasons, lines of single runs are bounded at 50 a second, failures of the worker watch were logged at debug level only, and nothing showed a leader short of processor time.

- start_refused tells worker_leaving, permit_expired and store_silent apart from not_sent (no connection).
- standing_task_idle, once a second for each standing task without execution for 2 s: what it waits for, the result of its last start order, run numbers used.
- loop_delayed, and the histogram kingcuploom_loop_delay_seconds.
- kingcuploom_idle_standing_tasks; worker_watch_failed with the age of the view.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -47,6 +47,7 @@
     void addStoredJobs();
 
     void tick();
+    void reportLoopDelay();
     // Posts a scheduling pass unless one is pending, so that all events of one iteration of the event loop share a pass.
     void requestSchedulingPass();
     void runSchedulingPass();
@@ -90,6 +91,8 @@
     std::shared_ptr<PrefixWatcher> m_jobs;
     std::shared_ptr<PrefixWatcher> m_workers;
     boost::asio::steady_timer m_tickTimer;
+    std::optional<MonotonicTime> m_tickDueAt;
+    MonotonicTime m_loopDelayReportedAt;
 
     // Records loaded before scheduling begins.
     std::map<scheduler::GraphJobId, std::shared_ptr<schema::GraphJobSpecT>> m_storedJobs;
--- a/libs/node/include/node/NodeMetrics.h
+++ b/libs/node/include/node/NodeMetrics.h
@@ -23,6 +23,9 @@
     // Time from the acceptance of a job to its end.
     void observeJob(const std::string& state, Milliseconds);
     void observeTakeover(Milliseconds);
+    // Delay of the event loop's timers beyond their due time, which shows a leader that is short of CPU time.
+    void observeLoopDelay(Milliseconds);
+    void setIdleStandingTasks(std::size_t);
     void setLeading(bool);
 
     // Returns all metrics in the Prometheus text format.
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -16,6 +16,9 @@
     // two slow responses of the store. This must stay below the maximum age at which tasks are started, 1.3 s.
     constexpr Milliseconds workerWatchTimeout { 400 };
     constexpr Milliseconds housekeepingInterval { 1000 };
+    // Longer delays of the event loop are logged, at most once in each interval.
+    constexpr Milliseconds reportedLoopDelay { 250 };
+    constexpr Milliseconds loopDelayReportInterval { 1000 };
 
 } // namespace
 
@@ -56,8 +59,10 @@
         if (!std::exchange(m_areWorkersRead, true))
             beginScheduling();
     };
-    workerCallbacks.onFailure = [](StoreError error) {
-        logEvent(LogLevel::Debug, "worker_watch_failed", { { "reason", toString(error) } });
+    workerCallbacks.onFailure = [this](StoreError error) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_workersCurrentAt);
+        logEvent(LogLevel::Info, "worker_watch_failed",
+            { { "reason", toString(error) }, { "workers_age_ms", age.count() }, { "term", m_state.term } });
     };
     m_workers
         = std::make_shared<PrefixWatcher>(m_loop, m_store, m_clock, m_formats.workerPrefix, workerWatchTimeout, std::move(workerCallbacks));
@@ -71,6 +76,7 @@
 void Coordinator::stop()
 {
     m_isStopped = true;
+    m_metrics.setIdleStandingTasks(0);
     m_jobs->stop();
     m_workers->stop();
     m_tickTimer.cancel();
@@ -212,11 +218,13 @@
 {
     if (m_isStopped)
         return;
+    reportLoopDelay();
     if (m_isScheduling) {
         scheduler::onTick(m_state, m_clock.now(), wallMs(), m_orders);
         readInventory();
         requestSchedulingPass();
     }
+    m_tickDueAt = m_clock.now() + tickInterval;
     m_tickTimer.expires_after(tickInterval);
     m_tickTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
@@ -224,6 +232,21 @@
     });
 }
 
+void Coordinator::reportLoopDelay()
+{
+    const auto now = m_clock.now();
+    if (!m_tickDueAt)
+        return;
+    const auto delay = std::chrono::duration_cast<Milliseconds>(now - *m_tickDueAt);
+    m_metrics.observeLoopDelay(std::max(delay, Milliseconds(0)));
+    if (delay < reportedLoopDelay || now - m_loopDelayReportedAt < loopDelayReportInterval)
+        return;
+    m_loopDelayReportedAt = now;
+    const auto viewAge = std::chrono::duration_cast<Milliseconds>(now - m_workersCurrentAt);
+    logEvent(LogLevel::Warning, "loop_delayed",
+        { { "delay_ms", delay.count() }, { "workers_age_ms", viewAge.count() }, { "term", m_state.term } });
+}
+
 void Coordinator::requestSchedulingPass()
 {
     if (!m_isScheduling || m_isStopped || std::exchange(m_isPassRequested, true))
@@ -253,6 +276,7 @@
         publishPendingCounts();
         removeExpiredJobs();
         storeInterference();
+        m_metrics.setIdleStandingTasks(m_state.idleStandingTasks);
     }
 }
 
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -17,6 +17,8 @@
     {
         if (decision.event == "pace_changed")
             return "slack";
+        if (decision.event == "standing_task_idle")
+            return "idle";
         return decision.event == "job_waits" ? "no_room" : decision.reason;
     }
 
@@ -47,7 +49,11 @@
     const bool isPermitted = permit || !scheduler::isAdvised(m_state, *job);
     const auto leaseUntil = mayExtendLeases() && isOpen && isPermitted ? scheduler::extendLease(m_state, *worker, now) : std::nullopt;
     if (!leaseUntil) {
-        boost::asio::post(m_loop, [onResult] { onResult(scheduler::StartResult::NotSent); });
+        const auto reason = !isOpen ? scheduler::StartResult::WorkerLeaving
+            : !isPermitted          ? scheduler::StartResult::PermitExpired
+            : !mayExtendLeases()    ? scheduler::StartResult::StoreSilent
+                                    : scheduler::StartResult::NotSent;
+        boost::asio::post(m_loop, [onResult, reason] { onResult(reason); });
         return;
     }
     StartMessage message { order.run, job->spec->payload, task->checkpoint, permit ? permit->ticket : std::string(), *leaseUntil,
--- a/libs/node/src/NodeMetrics.cpp
+++ b/libs/node/src/NodeMetrics.cpp
@@ -39,6 +39,13 @@
         = histogram(registry, "kingcuploom_job_duration_seconds", "From the acceptance of a job to its end");
     prometheus::Family<prometheus::Histogram>& takeovers
         = histogram(registry, "kingcuploom_takeover_duration_seconds", "From winning the term to scheduling");
+    prometheus::Family<prometheus::Histogram>& loopDelays
+        = histogram(registry, "kingcuploom_loop_delay_seconds", "Delay of the event loop's timers beyond their due time");
+    prometheus::Gauge& idleStandingTasks = prometheus::BuildGauge()
+                                               .Name("kingcuploom_idle_standing_tasks")
+                                               .Help("Standing tasks that no worker executes, as this node knows as leader")
+                                               .Register(registry)
+                                               .Add({});
     prometheus::Gauge& leading
         = prometheus::BuildGauge().Name("kingcuploom_leading").Help("1 while this node leads").Register(registry).Add({});
 
@@ -76,6 +83,10 @@
 
 void NodeMetrics::observeTakeover(Milliseconds time) { m_state->observe(m_state->takeovers, {}, time); }
 
+void NodeMetrics::observeLoopDelay(Milliseconds time) { m_state->observe(m_state->loopDelays, {}, time); }
+
+void NodeMetrics::setIdleStandingTasks(std::size_t count) { m_state->idleStandingTasks.Set(static_cast<double>(count)); }
+
 void NodeMetrics::setLeading(bool isLeading) { m_state->leading.Set(isLeading ? 1 : 0); }
 
 std::string NodeMetrics::serialize() const { return prometheus::TextSerializer().Serialize(m_state->registry.Collect()); }
@@ -96,6 +107,8 @@
 void NodeMetrics::observeFirstStart(Milliseconds) { }
 void NodeMetrics::observeJob(const std::string&, Milliseconds) { }
 void NodeMetrics::observeTakeover(Milliseconds) { }
+void NodeMetrics::observeLoopDelay(Milliseconds) { }
+void NodeMetrics::setIdleStandingTasks(std::size_t) { }
 void NodeMetrics::setLeading(bool) { }
 std::string NodeMetrics::serialize() const { return {}; }
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -136,6 +136,11 @@
     // The task is not placed before this time.
     MonotonicTime notBefore;
     std::vector<WorkerId> failedOn;
+    // For a standing task: time since which no worker has executed it, and its last run number at that time.
+    std::optional<MonotonicTime> idleSince;
+    RunNumber lastRunWhenIdle;
+    // Result of the last start order of the task.
+    const char* lastStartResult = "none";
 };
 
 struct Step {
@@ -326,6 +331,9 @@
     unsigned adviceRequestsInFlight = 0;
     InterferenceModel interference;
     MonotonicTime refittedAt;
+    MonotonicTime standingTasksCheckedAt;
+    // Standing tasks that no worker executed at the last check.
+    std::size_t idleStandingTasks = 0;
 };
 
 const schema::QueuePolicyT& getPolicy(const State&, const Job&);
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -67,9 +67,16 @@
     Unhealthy,
     // Another incarnation answered, or the order was malformed. Nothing was started.
     Refused,
+    // No connection to the worker could be used.
     NotSent,
     // Withheld by the scheduler because its view of draining workers and closed domains was stale.
     StaleView,
+    // Withheld: the worker has been unlisted, drains, or its domain was closed after the placement.
+    WorkerLeaving,
+    // Withheld: the permit of the adviser has expired since the placement.
+    PermitExpired,
+    // Withheld: the store has been silent for too long to extend leases.
+    StoreSilent,
     NoAnswer,
 };
 
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -187,6 +187,12 @@
         return "not_sent";
     case StartResult::StaleView:
         return "view_old";
+    case StartResult::WorkerLeaving:
+        return "worker_leaving";
+    case StartResult::PermitExpired:
+        return "permit_expired";
+    case StartResult::StoreSilent:
+        return "store_silent";
     case StartResult::NoAnswer:
         break;
     }
@@ -296,6 +302,8 @@
             run->startConfirmedAt = now;
         return;
     }
+    if (auto* task = findTask(state, ref.task))
+        task->lastStartResult = toString(result);
     if (result != StartResult::Started)
         orders.emplace_back(Decision { "start_refused", toString(ref), run->worker, toString(result), {}, run->startRetries });
     switch (result) {
@@ -328,6 +336,9 @@
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::Unhealthy:
     case StartResult::NotSent:
+    case StartResult::WorkerLeaving:
+    case StartResult::PermitExpired:
+    case StartResult::StoreSilent:
         if (worker)
             worker->health.avoidUntil = now + unhealthyRetryDelay;
         // An earlier send of the order may have arrived.
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/StandingTasks.h"
 
 #include <algorithm>
 
@@ -41,6 +42,7 @@
     checkProgress(state, now, orders);
     checkWorkers(state, now, orders);
     placeSpeculativeCopies(state, now, orders);
+    checkStandingTasks(state, now, orders);
 }
 
 void advance(State& state, MonotonicTime now, Orders& orders)
