Hold a recorded start while the view of the workers is old, instead of placing the task again

Cause: the leader was short of processor time. Its view of draining workers turned too old between the placement and the return of its commit. The start was then withheld, the recorded run released and the task placed again, with a new number and a new commit. Nothing bounded how often: each attempt needed a fresh view at its placement and again one commit later, and the repeated placements and commits kept the leader short of time.

Fix: a recorded run waits in a phase of its own and its start is sent, before anything else of a pass, with the first fresh view after its commit. The checks at the time of sending stay as they are.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -51,7 +51,7 @@
     // Posts a scheduling pass unless one is pending, so that all events of one iteration of the event loop share a pass.
     void requestSchedulingPass();
     void runSchedulingPass();
-    void execute(scheduler::Orders&);
+    void executeOrders();
     void execute(const scheduler::StartOrder&);
     void execute(const scheduler::StopOrder&);
     void execute(const scheduler::PaceOrder&);
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -1,6 +1,7 @@
 #include "node/Coordinator.h"
 
 #include "base/Log.h"
+#include "scheduler/Runs.h"
 
 #include <boost/asio/post.hpp>
 
@@ -266,9 +267,11 @@
         logEvent(LogLevel::Warning, m_state.isViewStale ? "starts_held" : "starts_released",
             { { "workers_age_ms", age.count() }, { "term", m_state.term } });
     }
+    // Before the placement, which can take long enough for the view to become stale again.
+    scheduler::sendRecordedStarts(m_state, m_clock.now(), m_orders);
+    executeOrders();
     scheduler::advance(m_state, m_clock.now(), m_orders);
-    auto orders = std::exchange(m_orders, {});
-    execute(orders);
+    executeOrders();
     commitDirtyJobs();
     scheduler::retireJobs(m_state);
     if (m_clock.now() - m_housekeepingAt >= housekeepingInterval) {
@@ -280,9 +283,9 @@
     }
 }
 
-void Coordinator::execute(scheduler::Orders& orders)
+void Coordinator::executeOrders()
 {
-    for (const auto& order : orders)
+    for (const auto& order : std::exchange(m_orders, {}))
         std::visit([this](const auto& it) { execute(it); }, order);
 }
 
--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -83,7 +83,7 @@
         m_leadership.confirm(sentAt);
         m_metrics.observeCommit("done", std::chrono::duration_cast<Milliseconds>(now - sentAt));
         for (const auto& [id, version] : jobs) {
-            scheduler::onCommitted(m_state, id, version, *result, now, m_orders);
+            scheduler::onCommitted(m_state, id, version, *result);
             reportJobEnd(*scheduler::findJob(m_state, id));
         }
         return requestSchedulingPass();
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,6 +69,8 @@
 enum class RunPhase {
     // Waiting for the commit that records it.
     Recording,
+    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough.
+    Recorded,
     // The start order was sent; the worker has not confirmed it.
     Starting,
     Running,
@@ -334,6 +336,8 @@
     MonotonicTime standingTasksCheckedAt;
     // Standing tasks that no worker executed at the last check.
     std::size_t idleStandingTasks = 0;
+    // Runs in phase Recorded, in the order of their commits. Entries whose run is gone or in another phase are ignored.
+    std::vector<RunRef> recordedRuns;
 };
 
 const schema::QueuePolicyT& getPolicy(const State&, const Job&);
@@ -344,6 +348,8 @@
 Job* findJob(State&, const GraphJobId&);
 Worker* findWorker(State&, const WorkerId&);
 bool hasEnded(const Job&);
+// Returns true if no start order of the run has been sent, so that no worker can execute it.
+bool isUnsent(const Run&);
 // Returns the number of the job's runs that may exist on workers.
 std::size_t countRuns(const Job&);
 
--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -22,8 +22,11 @@
 // Advances the acknowledgement cursor past the ends whose effects are committed.
 void advanceEndCursor(State&, Worker&);
 
-// Emits the start orders of the runs that the commit has recorded.
-void onCommitted(State&, const GraphJobId&, ProgressVersion, Revision recordRevision, MonotonicTime now, Orders&);
+// Lets the runs that the commit has recorded be started.
+void onCommitted(State&, const GraphJobId&, ProgressVersion, Revision recordRevision);
+
+// Emits the start orders of the recorded runs, unless the view of workers is stale.
+void sendRecordedStarts(State&, MonotonicTime now, Orders&);
 
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
 void checkRuns(State&, MonotonicTime now, Orders&);
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -56,7 +56,7 @@
             if (!run || run->born == born)
                 continue;
             const bool isOfEarlierIncarnation = run->isListed || run->phase == RunPhase::Unverified || run->born != earlier;
-            if (isOfEarlierIncarnation || run->phase == RunPhase::Recording)
+            if (isOfEarlierIncarnation || isUnsent(*run))
                 releaseRun(state, ref, now);
             else
                 stopRun(state, ref, StopReason::UncertainStart, now, orders);
@@ -71,7 +71,7 @@
             orders.emplace_back(StopOrder { listed.run, worker.id, StopReason::JobEnded });
             return;
         }
-        const bool isNew = run->phase == RunPhase::Starting || run->phase == RunPhase::Unverified;
+        const bool isNew = run->phase == RunPhase::Starting || run->phase == RunPhase::Recorded || run->phase == RunPhase::Unverified;
         if (isNew) {
             run->startConfirmedAt = now;
             run->percentChangedAt = now;
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -97,6 +97,8 @@
     return job.state == schema::JobState::Completed || job.state == schema::JobState::Failed || job.state == schema::JobState::Cancelled;
 }
 
+bool isUnsent(const Run& run) { return run.phase == RunPhase::Recording || (run.phase == RunPhase::Recorded && run.startRetries == 0); }
+
 std::size_t countRuns(const Job& job)
 {
     std::size_t count = 0;
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -269,7 +269,7 @@
             return false;
         const auto& run = task.runs.front();
         const auto& worker = state.workers.at(run.worker);
-        if (run.phase == RunPhase::Recording || run.phase == RunPhase::Unverified)
+        if (isUnsent(run) || run.phase == RunPhase::Unverified)
             return false;
         const auto limit = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * copyAfterShare) + copyAfter;
         return worker.missedPolls > 0 || run.phase == RunPhase::Stopping || run.startRetries > 0 || now - run.createdAt > limit;
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -123,6 +123,14 @@
         orders.emplace_back(StartOrder { ref, run.worker, true });
     }
 
+    // A start for which the view is too old stays recorded and is sent with the next fresh view. To place the task again instead could go
+    // on without end, because the next commit may return when the view is old as well.
+    void holdStart(State& state, const RunRef& ref, Run& run)
+    {
+        run.phase = RunPhase::Recorded;
+        state.recordedRuns.push_back(ref);
+    }
+
     void resendStop(const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
     {
         run.orderedAt = now;
@@ -142,7 +150,7 @@
     void checkRun(State& state, const RunRef& ref, Worker& worker, MonotonicTime now, Orders& orders)
     {
         auto* run = findRun(state, ref);
-        if (!run || run->phase == RunPhase::Recording)
+        if (!run || isUnsent(*run))
             return;
         const bool isUnneeded = hasEnded(*findJob(state, ref.task.job)) || findTask(state, ref.task)->isDone;
         if (run->phase == RunPhase::Running && isUnneeded)
@@ -261,7 +269,7 @@
     auto* run = findRun(state, ref);
     if (!run || run->phase == RunPhase::Stopping)
         return;
-    if (run->phase == RunPhase::Recording)
+    if (isUnsent(*run))
         return releaseRun(state, ref, now);
     run->stopReason = reason;
     // For a run of an earlier leader, the worker is first polled for whether it exists.
@@ -322,9 +330,7 @@
         return;
     }
     case StartResult::StaleView:
-        if (run->startRetries > 0)
-            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
-        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+        return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
         if (run->startRetries > 0)
@@ -434,7 +440,7 @@
     }
 }
 
-void onCommitted(State& state, const GraphJobId& id, ProgressVersion version, Revision recordRevision, MonotonicTime now, Orders& orders)
+void onCommitted(State& state, const GraphJobId& id, ProgressVersion version, Revision recordRevision)
 {
     auto* job = findJob(state, id);
     if (!job)
@@ -449,17 +455,29 @@
                 for (auto& run : tasks[index].runs) {
                     if (run.phase != RunPhase::Recording || run.recordedInVersion > version)
                         continue;
-                    run.phase = RunPhase::Starting;
-                    run.orderedAt = now;
-                    run.isOrderInFlight = true;
-                    extendLeaseEnd(state, run.worker, now);
-                    orders.emplace_back(StartOrder { { { id, number, step, index }, run.number }, run.worker, false });
+                    holdStart(state, { { id, number, step, index }, run.number }, run);
                 }
             }
         }
     }
 }
 
+void sendRecordedStarts(State& state, MonotonicTime now, Orders& orders)
+{
+    if (state.isViewStale)
+        return;
+    for (const auto& ref : std::exchange(state.recordedRuns, {})) {
+        auto* run = findRun(state, ref);
+        if (!run || run->phase != RunPhase::Recorded)
+            continue;
+        run->phase = RunPhase::Starting;
+        run->orderedAt = now;
+        run->isOrderInFlight = true;
+        extendLeaseEnd(state, run->worker, now);
+        orders.emplace_back(StartOrder { ref, run->worker, run->startRetries > 0 });
+    }
+}
+
 void checkRuns(State& state, MonotonicTime now, Orders& orders)
 {
     for (auto& entry : state.workers) {
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Runs.h"
 #include "scheduler/StandingTasks.h"
 
 #include <algorithm>
@@ -47,6 +48,7 @@
 
 void advance(State& state, MonotonicTime now, Orders& orders)
 {
+    sendRecordedStarts(state, now, orders);
     placeWaitingTasks(state, now, orders);
     schedulePolls(state, now, orders);
 }
--- a/libs/scheduler/src/StandingTasks.cpp
+++ b/libs/scheduler/src/StandingTasks.cpp
@@ -22,6 +22,8 @@
         switch (phase) {
         case RunPhase::Recording:
             return "commit";
+        case RunPhase::Recorded:
+            return "fresh_view";
         case RunPhase::Starting:
             return "start_order";
         case RunPhase::Running:
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -267,6 +267,8 @@
         if (generation == m_leaderGeneration)
             onStartResult(m_state, ref, result, m_now, m_orders);
     };
+    if (m_state.isViewStale)
+        return post(m_now, [answer] { answer(StartResult::StaleView); });
     if (!until)
         return post(m_now, [answer] { answer(StartResult::NotSent); });
     const auto leaseEnd = m_now + m_state.parameters.lease;
@@ -413,6 +415,30 @@
     }
 }
 
+// The store is occasionally slow.
+Milliseconds SchedulerWorld::randomCommitTime()
+{
+    const Milliseconds time(happens(0.1) ? 300 : 4);
+    return m_commitTime.value_or(time);
+}
+
+void SchedulerWorld::setCommitTime(Milliseconds time) { m_commitTime = time; }
+
+void SchedulerWorld::setViewRefresh(const ViewRefresh& refresh)
+{
+    m_viewRefresh = refresh;
+    m_viewRefreshedAt = m_now;
+}
+
+void SchedulerWorld::refreshView()
+{
+    if (!m_viewRefresh)
+        return;
+    if (m_now - m_viewRefreshedAt >= m_viewRefresh->period)
+        m_viewRefreshedAt = m_now;
+    m_state.isViewStale = m_now - m_viewRefreshedAt + m_viewRefresh->lag >= m_viewRefresh->limit;
+}
+
 void SchedulerWorld::commit()
 {
     const auto dirty = m_state.dirty;
@@ -431,9 +457,8 @@
         const bool isRefused = happens(m_probabilities.refusedCommit);
         const bool isAnswerLost = happens(m_probabilities.lostAnswer);
         if (!m_rules.startsRequireCommit)
-            onCommitted(m_state, id, version, expected, m_now, m_orders);
-        // The store is occasionally slow.
-        post(m_now + Milliseconds(happens(0.1) ? 300 : 4), [=, this] {
+            onCommitted(m_state, id, version, expected);
+        post(m_now + randomCommitTime(), [=, this] {
             auto& stored = m_store.at(id.value());
             const bool isCommitted = !isRefused && term == m_storedTerm && stored.revision == expected;
             if (isCommitted) {
@@ -446,7 +471,7 @@
                 return;
             auto& live = m_state.jobs.at(id);
             if (isCommitted && !isAnswerLost)
-                return onCommitted(m_state, id, version, stored.revision, m_now, m_orders);
+                return onCommitted(m_state, id, version, stored.revision);
             // Retried with the current revision of the store, as after a conflict.
             live.isCommitInFlight = false;
             live.recordRevision = stored.revision;
@@ -469,6 +494,7 @@
     if (happens(m_probabilities.cancel) && !m_store.empty())
         cancel(std::next(m_store.begin(), static_cast<std::ptrdiff_t>(randomBelow(m_store.size())))->first);
     listWorkers();
+    refreshView();
     onTick(m_state, m_now, wallMs(), m_orders);
     advance(m_state, m_now, m_orders);
     sendOrders(std::exchange(m_orders, {}));
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -46,6 +46,14 @@
     bool isAdvised = false;
 };
 
+// A leader that is short of CPU time: its view of the workers is refreshed once in each period and is already "lag" old then. Starts are
+// withheld while it is older than the limit.
+struct ViewRefresh {
+    Milliseconds period { 0 };
+    Milliseconds lag { 0 };
+    Milliseconds limit { 0 };
+};
+
 std::shared_ptr<schema::GraphJobSpecT> makeJobSpec(const std::string& id, const JobOptions& = {});
 
 // Seeded simulation of a small fleet, a store and a leader around the scheduler. Checks the safety invariants after each start.
@@ -64,6 +72,10 @@
     void crashWorker(unsigned);
     void partitionWorker(unsigned, Milliseconds);
 
+    void setViewRefresh(const ViewRefresh&);
+    // Time that each commit takes; by default a few milliseconds, and 300 ms for one in ten.
+    void setCommitTime(Milliseconds);
+
     // Sets the workers for which the adviser issues tickets, for every step.
     void setAllowedWorkers(const std::set<unsigned>&);
     std::size_t adviceRequestCount() const { return m_adviceRequests; }
@@ -125,6 +137,8 @@
     void send(const AdviceOrder&);
     void start(FakeWorker&, const RunRef&, std::int64_t fence, MonotonicTime leaseEnd, StartResult&);
     void commit();
+    Milliseconds randomCommitTime();
+    void refreshView();
     void checkStart(const FakeWorker&, const RunRef&);
     void addViolation(const std::string&);
     FakeWorker& findFakeWorker(const WorkerId&);
@@ -143,6 +157,9 @@
     Orders m_orders;
     std::vector<std::string> m_violations;
     std::size_t m_starts = 0;
+    std::optional<ViewRefresh> m_viewRefresh;
+    MonotonicTime m_viewRefreshedAt;
+    std::optional<Milliseconds> m_commitTime;
     std::set<WorkerId> m_allowedWorkers;
     std::size_t m_adviceRequests = 0;
     // Outcomes on the workers, used by the checks.
