End a call only after the loop has read its socket past the deadline

Cause: deadlines of calls were checked by a timer of the same event loop that reads the responses. A loop that is late by more than the timeout ended calls whose response had arrived; the start was then repeated on a new connection, stopped as unclear and placed again. The extra calls keep the loop late.

--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -144,6 +144,8 @@
     SteadyTime deadline;
     SteadyTime idleSince;
     SteadyTime connectDeadline;
+    // Past its deadline at the last sweep.
+    bool isOverdue = false;
 };
 
 void Connection::start(const AsyncCall& call, AsyncCallback done)
@@ -153,6 +155,7 @@
     deadline = now + call.timeout;
     request = requestOf(call);
     isSending = false;
+    isOverdue = false;
     if (isConnected)
         return send();
     if (const auto state = owner.lock())
@@ -319,8 +322,12 @@
 {
     const auto now = std::chrono::steady_clock::now();
     std::vector<std::shared_ptr<Connection>> late;
-    std::ranges::copy_if(busy, std::back_inserter(late),
-        [&](const auto& it) { return it->deadline <= now || (!it->isConnected && it->connectDeadline <= now); });
+    // A call ends only in the second sweep after its deadline, once the loop has read the sockets in between: when the loop itself is late,
+    // the response may have arrived in time.
+    std::ranges::copy_if(busy, std::back_inserter(late), [&](const auto& it) {
+        const bool isLate = it->deadline <= now || (!it->isConnected && it->connectDeadline <= now);
+        return std::exchange(it->isOverdue, isLate) && isLate;
+    });
     for (const auto& connection : late) {
         const auto error = connection->isSending ? AsyncCallError::NoAnswer : AsyncCallError::NotSent;
         connection->finish(makeUnexpected(error), false);
