--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,6 +69,8 @@
 enum class RunPhase {
     // Waiting for the commit that records it.
     Recording,
+    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough.
+    Recorded,
     // The start order was sent; the worker has not confirmed it.
     Starting,
     Running,
@@ -136,6 +138,11 @@
     // The task is not placed before this time.
     MonotonicTime notBefore;
     std::vector<WorkerId> failedOn;
+    // For a standing task: time since which no worker has executed it, and its last run number at that time.
+    std::optional<MonotonicTime> idleSince;
+    RunNumber lastRunWhenIdle;
+    // Result of the last start order of the task.
+    const char* lastStartResult = "none";
 };
 
 struct Step {
@@ -326,6 +333,11 @@
     unsigned adviceRequestsInFlight = 0;
     InterferenceModel interference;
     MonotonicTime refittedAt;
+    MonotonicTime standingTasksCheckedAt;
+    // Standing tasks that no worker executed at the last check.
+    std::size_t idleStandingTasks = 0;
+    // Runs in phase Recorded, in the order of their commits. Entries whose run is gone or in another phase are ignored.
+    std::vector<RunRef> recordedRuns;
 };
 
 const schema::QueuePolicyT& getPolicy(const State&, const Job&);
@@ -336,6 +348,8 @@
 Job* findJob(State&, const GraphJobId&);
 Worker* findWorker(State&, const WorkerId&);
 bool hasEnded(const Job&);
+// Returns true if no start order of the run has been sent, so that no worker can execute it.
+bool isUnsent(const Run&);
 // Returns the number of the job's runs that may exist on workers.
 std::size_t countRuns(const Job&);
 
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -4,6 +4,8 @@
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Runs.h"
+#include "scheduler/StandingTasks.h"
 
 #include <algorithm>
 
@@ -41,10 +43,12 @@
     checkProgress(state, now, orders);
     checkWorkers(state, now, orders);
     placeSpeculativeCopies(state, now, orders);
+    checkStandingTasks(state, now, orders);
 }
 
 void advance(State& state, MonotonicTime now, Orders& orders)
 {
+    sendRecordedStarts(state, now, orders);
     placeWaitingTasks(state, now, orders);
     schedulePolls(state, now, orders);
 }
