Avoid workers that do not take a start, instead of choosing them again

Callers would see: a standing task isn't restarted although other workers have room. Batch tasks, copies and gangs are delayed in the same way.

Cause: a worker that answers polls but takes no starts stays empty, so its score stays the best. After three starts without an answer, and after the refusals "late", "old" and "fence", nothing marked it, and it was chosen again, about every 2 s (every 50 ms after a refusal), for ever. After 429, 503 or no connection only the score was lower; if the worker is the only one near the task's data its score can still be the best, and it was ordered again at once.

Fix: a worker that refuses is not used for 400 ms, as after a refusal for lack of room, and avoided for 1.5 s; one that does not answer a start and its two repeats counts towards a quarantine as a stall does; the task prefers others.

--- a/libs/scheduler/include/scheduler/Health.h
+++ b/libs/scheduler/include/scheduler/Health.h
@@ -11,6 +11,9 @@
 // Updates the worker's health after a run on it made no progress.
 void recordStall(State&, Worker&, const RunRef&, MonotonicTime now, Orders&);
 
+// Updates the worker's health after it did not take the start of a run, although it answers polls.
+void recordUntakenStart(State&, Worker&, MonotonicTime now, Orders&);
+
 // Returns true if the health of the worker allows a new task on it.
 bool isHealthy(const Worker&, MonotonicTime now);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -137,6 +137,7 @@
     std::vector<Run> runs;
     // The task is not placed before this time.
     MonotonicTime notBefore;
+    // Workers on which the task has failed or that did not take its start. Others are preferred.
     std::vector<WorkerId> failedOn;
     // For a standing task: time since which no worker has executed it, and its last run number at that time.
     std::optional<MonotonicTime> idleSince;
@@ -215,6 +216,8 @@
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
+    // Consecutive runs whose start the worker did not take.
+    unsigned untakenStarts = 0;
     MonotonicTime avoidUntil;
     MonotonicTime quarantinedUntil;
     unsigned quarantines = 0;
@@ -280,8 +283,8 @@
     // Minimum slack of each serving image at the last control interval. Each filling task placed since then has reduced it by the loss that
     // the task is expected to cause.
     std::map<ImageNumber, double> minSlacks;
-    // No task is placed on the worker before this time, because it refused a start for lack of capacity.
-    MonotonicTime capacityRefusedUntil;
+    // No task is placed on the worker before this time, because it refused a start.
+    MonotonicTime refusedUntil;
 };
 
 // The adviser's permission to run a step on a worker.
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -79,6 +79,7 @@
             if (run->phase == RunPhase::Unverified)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
+            worker.health.untakenStarts = 0;
             auto* job = findJob(state, listed.run.task.job);
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -13,6 +13,8 @@
     // Number of stalled runs without a successful task in between.
     constexpr unsigned stallsToQuarantine = 2;
     constexpr Milliseconds quarantineTime { 3000 };
+    // Number of consecutive runs whose start was not taken.
+    constexpr unsigned untakenStartsToQuarantine = 2;
     constexpr unsigned maxQuarantineDoublings = 2;
     // After each failure or stall that counts against a worker, other workers are preferred for this time.
     constexpr Milliseconds failureAvoidTime { 1500 };
@@ -44,6 +46,7 @@
         const auto failures = static_cast<std::int64_t>(worker.health.recentFailures.size());
         worker.health.recentFailures.clear();
         worker.health.stalls = 0;
+        worker.health.untakenStarts = 0;
         orders.emplace_back(Decision { "worker_quarantined", {}, worker.id, reason, {}, failures });
     }
 
@@ -68,6 +71,7 @@
     if (kind == EndKind::Done) {
         health.recentFailures.clear();
         health.stalls = 0;
+        health.untakenStarts = 0;
         health.quarantines = 0;
         health.isOnProbation = false;
         return;
@@ -92,9 +96,17 @@
         quarantine(state, worker, "stalls", now, orders);
 }
 
+void recordUntakenStart(State& state, Worker& worker, MonotonicTime now, Orders& orders)
+{
+    worker.health.avoidUntil = now + failureAvoidTime;
+    const unsigned needed = worker.health.isOnProbation ? 1 : untakenStartsToQuarantine;
+    if (++worker.health.untakenStarts >= needed)
+        quarantine(state, worker, "starts", now, orders);
+}
+
 bool isHealthy(const Worker& worker, MonotonicTime now)
 {
-    if (worker.health.quarantinedUntil > now || worker.capacityRefusedUntil > now)
+    if (worker.health.quarantinedUntil > now || worker.refusedUntil > now)
         return false;
     return !worker.health.isOnProbation || std::ranges::none_of(worker.runs, [&](const RunRef&) { return worker.health.avoidUntil > now; });
 }
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -13,8 +13,8 @@
 
     // Delay before a task is placed again after its start was refused, which avoids repeated orders on a busy fleet.
     constexpr Milliseconds retryDelay { 50 };
-    // Delay before a worker that refused a start for lack of capacity is used again.
-    constexpr Milliseconds capacityRetryDelay { 400 };
+    // Delay before a worker that refused a start is used again.
+    constexpr Milliseconds refusalRetryDelay { 400 };
     // Time for which a worker that did not accept an order is avoided.
     constexpr Milliseconds unhealthyRetryDelay { 1500 };
     // Number of times that an unanswered start is resent, on new connections, before the run is stopped.
@@ -49,6 +49,34 @@
             worker.servingImages.erase(image);
     }
 
+    void preferOtherWorkers(Task& task, const WorkerId& id)
+    {
+        if (std::ranges::find(task.failedOn, id) == task.failedOn.end())
+            task.failedOn.push_back(id);
+    }
+
+    // The worker did not take the start of the run. Without a mark it would stay empty, look best and be chosen again.
+    void markUntakenStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now, Orders& orders)
+    {
+        if (auto* task = findTask(state, ref.task))
+            preferOtherWorkers(*task, id);
+        if (auto* worker = findWorker(state, id))
+            recordUntakenStart(state, *worker, now, orders);
+    }
+
+    // The worker refused the order at once, so nothing is known to be wrong with its other tasks.
+    void markRefusedStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now)
+    {
+        if (auto* task = findTask(state, ref.task))
+            preferOtherWorkers(*task, id);
+        auto* worker = findWorker(state, id);
+        if (!worker)
+            return;
+        worker->health.avoidUntil = now + unhealthyRetryDelay;
+        // Excluded for a shorter time, because the score of the only worker near the data can be the best in spite of the refusals.
+        worker->refusedUntil = now + refusalRetryDelay;
+    }
+
     void failTask(State& state, Job& job, const TaskRef& ref, const Run& run, MonotonicTime now, std::int64_t wallMs, Orders& orders)
     {
         auto& step = job.occurrences.at(ref.occurrence).steps[ref.step];
@@ -58,7 +86,7 @@
         ++task.failures;
         if (spec.gang && isNewGangFailure)
             step.gangFailures = run.number.value();
-        task.failedOn.push_back(run.worker);
+        preferOtherWorkers(task, run.worker);
         const auto maxAttempts = std::max(getPolicy(state, job).max_attempts, 1U);
         if (spec.long_running) {
             const auto pause = std::min(maxRestartDelay, Milliseconds(25) * (1 << std::min(task.failures, 8U)));
@@ -115,8 +143,10 @@
 
     void resendStart(State& state, const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
     {
-        if (run.startRetries >= maxStartRetries)
+        if (run.startRetries >= maxStartRetries) {
+            markUntakenStart(state, ref, run.worker, now, orders);
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        }
         ++run.startRetries;
         run.orderedAt = now;
         run.isOrderInFlight = true;
@@ -320,6 +350,7 @@
         run->startConfirmedAt = now;
         run->percentChangedAt = now;
         if (worker) {
+            worker->health.untakenStarts = 0;
             worker->lastAnswerAt = now;
             // Tasks start at full pace, so a lower one must be sent.
             sendPaces(state, *worker, orders);
@@ -338,10 +369,15 @@
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::NoRoom:
         if (worker)
-            worker->capacityRefusedUntil = now + capacityRetryDelay;
+            worker->refusedUntil = now + refusalRetryDelay;
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::Unhealthy:
     case StartResult::NotSent:
+        markRefusedStart(state, ref, run->worker, now);
+        // An earlier send of the order may have arrived.
+        if (run->startRetries > 0)
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::WorkerLeaving:
     case StartResult::PermitExpired:
     case StartResult::StoreSilent:
@@ -352,12 +388,12 @@
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::Refused:
-        if (worker)
-            worker->health.avoidUntil = now + unhealthyRetryDelay;
+        markUntakenStart(state, ref, run->worker, now, orders);
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
     case StartResult::Fenced:
     case StartResult::Superseded:
     case StartResult::Late:
+        markRefusedStart(state, ref, run->worker, now);
         if (run->startRetries > 0)
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, retryDelay);
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -39,6 +39,7 @@
         step->image = options.image;
         step->required_label = options.label;
         step->gang = options.isGang;
+        step->affinity_rack = options.affinityRack;
         if (i > 0)
             step->after.push_back(i - 1);
         spec->steps.push_back(std::move(step));
@@ -130,7 +131,7 @@
         entry.service = ServiceName("service");
         entry.address = Address("10.0.0.1:1");
         entry.domain = FailureDomain("north");
-        entry.rack = Rack("r1");
+        entry.rack = worker.rack;
         entry.capacity = { workerCpuMillis, workerMemoryMb, 0 };
         onWorkerListed(m_state, entry, m_now, m_orders);
     }
@@ -152,6 +153,10 @@
     worker.born = IncarnationTime(worker.born.value() + 1);
 }
 
+void SchedulerWorld::setStartFault(unsigned index, std::optional<StartResult> fault) { m_workers[index].startFault = fault; }
+
+void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
+
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
 
 void SchedulerWorld::deliverDue()
@@ -280,7 +285,9 @@
     post(at, [=, this, born = worker->born] {
         auto& target = findFakeWorker(order.worker);
         auto result = StartResult::NoAnswer;
-        if (isReachable(target) && !isOrderLost && target.born == born)
+        if (target.startFault)
+            result = *target.startFault;
+        else if (isReachable(target) && !isOrderLost && target.born == born)
             start(target, order.run, fence, leaseEnd, result);
         if (isAnswerLost || result == StartResult::NoAnswer || m_now - at > timeout)
             return;
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -44,6 +44,7 @@
     std::string label;
     bool isGang = false;
     bool isAdvised = false;
+    std::string affinityRack;
 };
 
 // A leader that is short of CPU time: its view of the workers is refreshed once in each period and is already "lag" old then. Starts are
@@ -76,6 +77,12 @@
     // Time that each commit takes; by default a few milliseconds, and 300 ms for one in ten.
     void setCommitTime(Milliseconds);
 
+    // Lets a worker answer start orders with this result instead of starting the run; NoAnswer: the order is lost. Polls are answered.
+    void setStartFault(unsigned, std::optional<StartResult>);
+
+    // All workers are in rack r1 by default.
+    void setRack(unsigned, const Rack&);
+
     // Sets the workers for which the adviser issues tickets, for every step.
     void setAllowedWorkers(const std::set<unsigned>&);
     std::size_t adviceRequestCount() const { return m_adviceRequests; }
@@ -97,6 +104,7 @@
     };
     struct FakeWorker {
         WorkerId id;
+        Rack rack { "r1" };
         IncarnationTime born { 1 };
         bool isUp = true;
         MonotonicTime partitionedUntil;
@@ -108,6 +116,7 @@
         EndNumber lastLapsedEnd;
         std::int64_t fence = 0;
         MonotonicTime leaseEnd;
+        std::optional<StartResult> startFault;
     };
     struct StoredJob {
         std::shared_ptr<schema::GraphJobSpecT> spec;
