Measure the time without progress up to the last report of the worker

Callers would see: healthy runs are stopped and started again elsewhere while the leader is late; batch work is repeated, standing tasks are interrupted in their start-up.

Cause: the time without progress was counted up to the present, although the last reading can be over a second old. The check for a recent answer doesn't help on a busy worker: an answer to a start counted as recent, and contains no progress.

Evidence: "A run is not stopped for lack of progress because the leader reads the reports late" failed before: with reports read 1.9 s late and a start every 0.3 s, the run was stopped and the job not completed within 6 s more.

Fix: the time is counted up to the last answer to a poll. A run without progress is found at most one report later; "A run that makes no progress is moved to another worker" passes before and after.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -265,6 +265,8 @@
     // The worker has answered an order that carried the fencing token of this term.
     bool hasSeenFence = false;
     MonotonicTime lastAnswerAt;
+    // Time at which the last answer to a poll was read. Only these answers contain the progress of runs.
+    MonotonicTime reportedAt;
     unsigned missedPolls = 0;
     // Consecutive inventories without the worker.
     unsigned missedInventories = 0;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -192,6 +192,7 @@
         worker->leaseEnd = std::max(worker->leaseEnd, now + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100);
     worker->hasSeenFence = true;
     worker->lastAnswerAt = now;
+    worker->reportedAt = now;
     worker->missedPolls = 0;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -50,12 +50,13 @@
         orders.emplace_back(Decision { "worker_quarantined", {}, worker.id, reason, {}, failures });
     }
 
-    bool isStalled(const schema::StepSpecT& step, const Run& run, MonotonicTime now)
+    // Measured up to the last reading: a leader that is late does not know whether the percentage has changed since.
+    bool isStalled(const schema::StepSpecT& step, const Run& run, MonotonicTime reportedAt)
     {
         // A task with a low pace may legitimately make no visible progress.
         if (run.phase != RunPhase::Running || !run.isListed || run.percent >= 100 || run.pace < 50 || run.confirmedPace < 50)
             return false;
-        const auto unchangedFor = now - run.percentChangedAt;
+        const auto unchangedFor = reportedAt - run.percentChangedAt;
         if (step.long_running)
             return unchangedFor > standingStallTimeout;
         const auto share = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * stallShare);
@@ -121,7 +122,7 @@
         for (const auto& ref : refs) {
             const auto* run = findRun(state, ref);
             const auto* job = findJob(state, ref.task.job);
-            if (!run || !job || !isStalled(getStepSpec(*job, ref.task.step), *run, now))
+            if (!run || !job || !isStalled(getStepSpec(*job, ref.task.step), *run, worker.reportedAt))
                 continue;
             recordStall(state, worker, ref, now, orders);
             stopRun(state, ref, StopReason::NoProgress, now, orders);
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -155,6 +155,10 @@
 
 void SchedulerWorld::setStartFault(unsigned index, std::optional<StartResult> fault) { m_workers[index].startFault = fault; }
 
+void SchedulerWorld::setReportDelay(Milliseconds delay) { m_reportDelay = delay; }
+
+void SchedulerWorld::setFrozen(unsigned index, bool isFrozen) { m_workers[index].isFrozen = isFrozen; }
+
 void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
 
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
@@ -194,7 +198,7 @@
             const bool isStanding = execution.total.count() == 0;
             if (worker.leaseEnd < m_now)
                 over.emplace_back(ref, EndKind::Lapsed);
-            else if (!isStanding && (execution.remaining -= time) <= Milliseconds(0))
+            else if (!isStanding && !worker.isFrozen && (execution.remaining -= time) <= Milliseconds(0))
                 over.emplace_back(ref, execution.willFail ? EndKind::Failed : EndKind::Done);
         }
         for (const auto& [ref, kind] : over)
@@ -377,7 +381,7 @@
             return;
         if (isLost)
             return post(sentAt + timeout, fail);
-        post(m_now + Milliseconds(2), [=, this] {
+        post(m_now + Milliseconds(2) + m_reportDelay, [=, this] {
             if (generation == m_leaderGeneration)
                 onPollReport(m_state, order.worker, report, sentAt, m_now, wallMs(), m_orders);
         });
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -80,6 +80,10 @@
     // Lets a worker answer start orders with this result instead of starting the run; NoAnswer: the order is lost. Polls are answered.
     void setStartFault(unsigned, std::optional<StartResult>);
 
+    // Lets a worker execute its runs without progress.
+    void setFrozen(unsigned, bool);
+    // A leader that reads the answers of polls this long after they have arrived.
+    void setReportDelay(Milliseconds);
     // All workers are in rack r1 by default.
     void setRack(unsigned, const Rack&);
 
@@ -117,6 +121,7 @@
         std::int64_t fence = 0;
         MonotonicTime leaseEnd;
         std::optional<StartResult> startFault;
+        bool isFrozen = false;
     };
     struct StoredJob {
         std::shared_ptr<schema::GraphJobSpecT> spec;
@@ -169,6 +174,7 @@
     std::optional<ViewRefresh> m_viewRefresh;
     MonotonicTime m_viewRefreshedAt;
     std::optional<Milliseconds> m_commitTime;
+    Milliseconds m_reportDelay { 0 };
     std::set<WorkerId> m_allowedWorkers;
     std::size_t m_adviceRequests = 0;
     // Outcomes on the workers, used by the checks.
