Let a recorded start wait for a new permit, instead of placing the task again

Callers would see: tasks of a queue with an adviser aren't started while commits, or the wait for a fresh view, take longer than a permit is valid. Standing tasks of such a queue are not restarted in that time.

Cause: the permit was checked at the placement and again at the time of sending. If it had expired in between, the run was released, its worker avoided, and the task placed again with a new permit, which expired in the same way. Nothing bounded how often.

Evidence: "A recorded start whose permit has expired waits for a new permit on the same worker" failed before for commit times of 500 ms and more with permits of 600 ms.

Fix: the recorded run keeps its worker, asks the adviser for this worker only, and is sent when the answer arrives, so a start takes one commit and one question. It is released if the answer omits the worker, or if the worker drains, leaves or is closed. The check at the time of sending stays.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,7 +69,8 @@
 enum class RunPhase {
     // Waiting for the commit that records it.
     Recording,
-    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough.
+    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough and, for a queue with an
+    // adviser, a permit is valid.
     Recorded,
     // The start order was sent; the worker has not confirmed it.
     Starting,
--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -25,7 +25,7 @@
 // Lets the runs that the commit has recorded be started.
 void onCommitted(State&, const GraphJobId&, ProgressVersion, Revision recordRevision);
 
-// Emits the start orders of the recorded runs, unless the view of workers is stale.
+// Emits the start orders of the recorded runs, unless the view of workers is stale. Runs without a valid permit wait for a new one.
 void sendRecordedStarts(State&, MonotonicTime now, Orders&);
 
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -153,14 +153,25 @@
         orders.emplace_back(StartOrder { ref, run.worker, true });
     }
 
-    // A start for which the view is too old stays recorded and is sent with the next fresh view. To place the task again instead could go
-    // on without end, because the next commit may return when the view is old as well.
+    // A start for which the view is too old, or whose permit has expired, stays recorded and is sent once it can be. To place the task
+    // again instead could go on without end, because the next commit may return too late as well.
     void holdStart(State& state, const RunRef& ref, Run& run)
     {
         run.phase = RunPhase::Recorded;
         state.recordedRuns.push_back(ref);
     }
 
+    enum class PermitStatus { Usable, Expired, Unobtainable };
+
+    PermitStatus checkPermit(const State& state, const Job& job, const TaskRef& ref, const Worker& worker, MonotonicTime now)
+    {
+        const auto step = toStepRef(ref);
+        if (!isAdvised(state, job) || findPermit(state, step, worker, now))
+            return PermitStatus::Usable;
+        const bool isOpen = worker.isListed && !worker.isDraining && !state.closedDomains.contains(worker.domain);
+        return isOpen && !isBarred(state, step, worker) ? PermitStatus::Expired : PermitStatus::Unobtainable;
+    }
+
     void resendStop(const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
     {
         run.orderedAt = now;
@@ -361,6 +372,7 @@
         return;
     }
     case StartResult::StaleView:
+    case StartResult::PermitExpired:
         return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
@@ -379,7 +391,6 @@
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::WorkerLeaving:
-    case StartResult::PermitExpired:
     case StartResult::StoreSilent:
         if (worker)
             worker->health.avoidUntil = now + unhealthyRetryDelay;
@@ -502,16 +513,29 @@
 {
     if (state.isViewStale)
         return;
+    std::map<StepRef, std::vector<WorkerId>> unpermitted;
     for (const auto& ref : std::exchange(state.recordedRuns, {})) {
         auto* run = findRun(state, ref);
         if (!run || run->phase != RunPhase::Recorded)
             continue;
+        const auto permit = checkPermit(state, *findJob(state, ref.task.job), ref.task, *findWorker(state, run->worker), now);
+        if (permit == PermitStatus::Unobtainable) {
+            stopRun(state, ref, StopReason::UncertainStart, now, orders);
+            continue;
+        }
+        if (permit == PermitStatus::Expired) {
+            state.recordedRuns.push_back(ref);
+            unpermitted[toStepRef(ref.task)].push_back(run->worker);
+            continue;
+        }
         run->phase = RunPhase::Starting;
         run->orderedAt = now;
         run->isOrderInFlight = true;
         extendLeaseEnd(state, run->worker, now);
         orders.emplace_back(StartOrder { ref, run->worker, run->startRetries > 0 });
     }
+    for (const auto& [step, workers] : unpermitted)
+        requestAdvice(state, step, workers, now, orders);
 }
 
 void checkRuns(State& state, MonotonicTime now, Orders& orders)
--- a/libs/scheduler/src/StandingTasks.cpp
+++ b/libs/scheduler/src/StandingTasks.cpp
@@ -23,7 +23,7 @@
         case RunPhase::Recording:
             return "commit";
         case RunPhase::Recorded:
-            return "fresh_view";
+            return "fresh_view_or_permit";
         case RunPhase::Starting:
             return "start_order";
         case RunPhase::Running:
--- a/libs/scheduler/tests/AdviceTests.cpp
+++ b/libs/scheduler/tests/AdviceTests.cpp
@@ -73,3 +73,33 @@
     requestAdvice(state, { GraphJobId("c"), 0, 0 }, workers, now, orders);
     CHECK(orders.size() == 1);
 }
+
+TEST_CASE("A recorded start whose permit has expired waits for a new permit on the same worker")
+{
+    // Guards against releasing the run and placing the task again: if commits take longer than a permit is valid, it then never starts.
+    for (auto commitTime = Milliseconds(100); commitTime <= Milliseconds(1500); commitTime += Milliseconds(200)) {
+        SchedulerWorld world(3);
+        world.setAllowedWorkers({ 0, 2 });
+        world.setAdviceValidity(Milliseconds(600));
+        world.setCommitTime(commitTime);
+        world.submit(makeJobSpec("a", { .counts = { 2 }, .isLongRunning = true, .isAdvised = true }));
+        INFO("commit time in ms: " << commitTime.count());
+        CHECK(world.runUntil([&] { return world.runningCount("a") == 2; }, commitTime + Milliseconds(1000)));
+        CHECK(world.violations().empty());
+    }
+}
+
+TEST_CASE("A recorded start is released if the next answer of the adviser omits its worker")
+{
+    // Guards against waiting for a permit that is never issued.
+    SchedulerWorld world(2);
+    world.setAllowedWorkers({ 0 });
+    world.setAdviceValidity(Milliseconds(600));
+    world.setCommitTime(Milliseconds(1000));
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true, .isAdvised = true }));
+    world.run(Milliseconds(500));
+    world.setAllowedWorkers({ 1 });
+    world.state().advice.at(firstStep).barred.clear();
+    CHECK(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(4000)));
+    CHECK(world.violations().empty());
+}
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -9,7 +9,6 @@
     constexpr std::int64_t workerCpuMillis = 4000;
     constexpr std::int64_t workerMemoryMb = 16'000;
     constexpr Milliseconds restartDelay { 900 };
-    constexpr Milliseconds adviceValidity { 3000 };
 
 } // namespace
 
@@ -278,6 +277,8 @@
     };
     if (m_state.isViewStale)
         return post(m_now, [answer] { answer(StartResult::StaleView); });
+    if (isAdvised(m_state, *findJob(m_state, order.run.task.job)) && !findPermit(m_state, toStepRef(order.run.task), *worker, m_now))
+        return post(m_now, [answer] { answer(StartResult::PermitExpired); });
     if (!until)
         return post(m_now, [answer] { answer(StartResult::NotSent); });
     const auto leaseEnd = m_now + m_state.parameters.lease;
@@ -394,12 +395,14 @@
     std::ranges::transform(indices, std::inserter(m_allowedWorkers, m_allowedWorkers.end()), &SchedulerWorld::workerId);
 }
 
+void SchedulerWorld::setAdviceValidity(Milliseconds validity) { m_adviceValidity = validity; }
+
 void SchedulerWorld::send(const AdviceOrder& order)
 {
     ++m_adviceRequests;
     const auto generation = m_leaderGeneration;
     const auto sentAt = m_now;
-    Expected<Advice, AdviceError> answer = Advice { {}, adviceValidity };
+    Expected<Advice, AdviceError> answer = Advice { {}, m_adviceValidity };
     for (const auto& id : order.workers) {
         if (m_allowedWorkers.contains(id))
             answer->good.emplace_back(id, "ticket");
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -89,6 +89,8 @@
 
     // Sets the workers for which the adviser issues tickets, for every step.
     void setAllowedWorkers(const std::set<unsigned>&);
+    // Time for which the adviser's tickets are valid, from its answer on.
+    void setAdviceValidity(Milliseconds);
     std::size_t adviceRequestCount() const { return m_adviceRequests; }
 
     schema::JobState storedState(const std::string& job) const;
@@ -176,6 +178,7 @@
     std::optional<Milliseconds> m_commitTime;
     Milliseconds m_reportDelay { 0 };
     std::set<WorkerId> m_allowedWorkers;
+    Milliseconds m_adviceValidity { 3000 };
     std::size_t m_adviceRequests = 0;
     // Outcomes on the workers, used by the checks.
     std::map<TaskRef, std::uint32_t> m_failures;
