Place no copies of runs while the view of the workers is old

Callers would see: work done twice on a leader that is late, and copies recorded on workers that drain, which then cannot start.

Cause: copies were placed while the view is old, unlike other tasks. Runs seem slow then because the leader has not read their reports.

Evidence: "No copy of a run is placed while the last known state of workers is old" failed before.

Fix: copies wait for a fresh view, as other placements do.

--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -295,6 +295,8 @@
 
 void placeSpeculativeCopies(State& state, MonotonicTime now, Orders& orders)
 {
+    if (state.isViewStale)
+        return;
     for (const auto& id : state.active) {
         auto& job = state.jobs.at(id);
         if (hasEnded(job) || job.isCancelRequested)
--- a/libs/scheduler/tests/PlacementTests.cpp
+++ b/libs/scheduler/tests/PlacementTests.cpp
@@ -58,3 +58,19 @@
     }
     CHECK(tried == 0);
 }
+
+TEST_CASE("No copy of a run is placed while the last known state of workers is old")
+{
+    // Guards against copies of runs that seem slow only because the leader is late, on workers that may be draining by now.
+    SchedulerWorld world(3);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .estimateMs = 400, .isSpeculative = true }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(500)));
+    for (unsigned i = 0; i < 3; ++i)
+        world.setFrozen(i, true);
+    world.state().isViewStale = true;
+    world.run(Milliseconds(1300));
+    CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(1));
+    world.state().isViewStale = false;
+    world.run(Milliseconds(200));
+    CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(2));
+}
