Count the time after which a run is copied from its start

Callers would see: commits, reservations and starts of copies that nobody needs, at times when the leader or the store is slow already.

Cause: the time was counted from the placement, and so included the commit and the wait for a fresh view. The copy was placed with the start, or right after it.

Evidence: "A run is not copied because its start was held" failed before, with a commit time of 1.5 s and an estimate of 0.4 s.

Fix: the time counts from the confirmed start, or from the sending of an unconfirmed one.

--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -272,7 +272,9 @@
         if (isUnsent(run) || run.phase == RunPhase::Unverified)
             return false;
         const auto limit = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * copyAfterShare) + copyAfter;
-        return worker.missedPolls > 0 || run.phase == RunPhase::Stopping || run.startRetries > 0 || now - run.createdAt > limit;
+        // Not from the placement on: the commit and the wait for a fresh view are no sign of a slow worker.
+        const auto begunAt = run.startConfirmedAt.value_or(run.orderedAt);
+        return worker.missedPolls > 0 || run.phase == RunPhase::Stopping || run.startRetries > 0 || now - begunAt > limit;
     }
 
 } // namespace
--- a/libs/scheduler/tests/PlacementTests.cpp
+++ b/libs/scheduler/tests/PlacementTests.cpp
@@ -74,3 +74,15 @@
     world.run(Milliseconds(200));
     CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(2));
 }
+
+TEST_CASE("A run is not copied because its start was held")
+{
+    // Guards against counting the time of the commit and of the wait for a fresh view as time of work: the copy was placed with the start.
+    SchedulerWorld world(3);
+    world.run(Milliseconds(200));
+    world.setCommitTime(Milliseconds(1500));
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .estimateMs = 400, .isSpeculative = true }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(2000)));
+    world.run(Milliseconds(200));
+    CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(1));
+}
