--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,7 +69,8 @@
 enum class RunPhase {
     // Waiting for the commit that records it.
     Recording,
-    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough.
+    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough and, for a queue with an
+    // adviser, a permit is valid.
     Recorded,
     // The start order was sent; the worker has not confirmed it.
     Starting,
@@ -137,6 +138,7 @@
     std::vector<Run> runs;
     // The task is not placed before this time.
     MonotonicTime notBefore;
+    // Workers on which the task has failed or that did not take its start. Others are preferred.
     std::vector<WorkerId> failedOn;
     // For a standing task: time since which no worker has executed it, and its last run number at that time.
     std::optional<MonotonicTime> idleSince;
@@ -215,6 +217,8 @@
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
+    // Consecutive runs whose start the worker did not take.
+    unsigned untakenStarts = 0;
     MonotonicTime avoidUntil;
     MonotonicTime quarantinedUntil;
     unsigned quarantines = 0;
@@ -262,6 +266,8 @@
     // The worker has answered an order that carried the fencing token of this term.
     bool hasSeenFence = false;
     MonotonicTime lastAnswerAt;
+    // Time at which the last answer to a poll was read. Only these answers contain the progress of runs.
+    MonotonicTime reportedAt;
     unsigned missedPolls = 0;
     // Consecutive inventories without the worker.
     unsigned missedInventories = 0;
@@ -280,8 +286,8 @@
     // Minimum slack of each serving image at the last control interval. Each filling task placed since then has reduced it by the loss that
     // the task is expected to cause.
     std::map<ImageNumber, double> minSlacks;
-    // No task is placed on the worker before this time, because it refused a start for lack of capacity.
-    MonotonicTime capacityRefusedUntil;
+    // No task is placed on the worker before this time, because it refused a start.
+    MonotonicTime refusedUntil;
 };
 
 // The adviser's permission to run a step on a worker.
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -79,6 +79,7 @@
             if (run->phase == RunPhase::Unverified)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
+            worker.health.untakenStarts = 0;
             auto* job = findJob(state, listed.run.task.job);
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
@@ -191,6 +192,7 @@
         worker->leaseEnd = std::max(worker->leaseEnd, now + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100);
     worker->hasSeenFence = true;
     worker->lastAnswerAt = now;
+    worker->reportedAt = now;
     worker->missedPolls = 0;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -44,6 +44,7 @@
     std::string label;
     bool isGang = false;
     bool isAdvised = false;
+    std::string affinityRack;
 };
 
 // A leader that is short of CPU time: its view of the workers is refreshed once in each period and is already "lag" old then. Starts are
@@ -76,8 +77,20 @@
     // Time that each commit takes; by default a few milliseconds, and 300 ms for one in ten.
     void setCommitTime(Milliseconds);
 
+    // Lets a worker answer start orders with this result instead of starting the run; NoAnswer: the order is lost. Polls are answered.
+    void setStartFault(unsigned, std::optional<StartResult>);
+
+    // Lets a worker execute its runs without progress.
+    void setFrozen(unsigned, bool);
+    // A leader that reads the answers of polls this long after they have arrived.
+    void setReportDelay(Milliseconds);
+    // All workers are in rack r1 by default.
+    void setRack(unsigned, const Rack&);
+
     // Sets the workers for which the adviser issues tickets, for every step.
     void setAllowedWorkers(const std::set<unsigned>&);
+    // Time for which the adviser's tickets are valid, from its answer on.
+    void setAdviceValidity(Milliseconds);
     std::size_t adviceRequestCount() const { return m_adviceRequests; }
 
     schema::JobState storedState(const std::string& job) const;
@@ -97,6 +110,7 @@
     };
     struct FakeWorker {
         WorkerId id;
+        Rack rack { "r1" };
         IncarnationTime born { 1 };
         bool isUp = true;
         MonotonicTime partitionedUntil;
@@ -108,6 +122,8 @@
         EndNumber lastLapsedEnd;
         std::int64_t fence = 0;
         MonotonicTime leaseEnd;
+        std::optional<StartResult> startFault;
+        bool isFrozen = false;
     };
     struct StoredJob {
         std::shared_ptr<schema::GraphJobSpecT> spec;
@@ -160,7 +176,9 @@
     std::optional<ViewRefresh> m_viewRefresh;
     MonotonicTime m_viewRefreshedAt;
     std::optional<Milliseconds> m_commitTime;
+    Milliseconds m_reportDelay { 0 };
     std::set<WorkerId> m_allowedWorkers;
+    Milliseconds m_adviceValidity { 3000 };
     std::size_t m_adviceRequests = 0;
     // Outcomes on the workers, used by the checks.
     std::map<TaskRef, std::uint32_t> m_failures;
