Measure placements and a backlog in the leader's benchmark, and keep its runs alive

The ticks let all runs lapse after 7.5 s of simulated time, so that the smaller fleet was measured without runs.

--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -5,6 +5,8 @@
 
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
+
 using namespace kingcuploom;
 using namespace kingcuploom::scheduler;
 
@@ -12,6 +14,16 @@
 
 constexpr int standingTasksPerJob = 14;
 constexpr std::int64_t wallMs = 1'700'000'000'000;
+constexpr int servingImageCount = 10;
+// Batch tasks of one step, and jobs of the backlog.
+constexpr std::uint32_t stepTasks = 20;
+constexpr int backlogJobs = 100;
+// Effects of a filling image on a serving one: one that matters for placement, and one that leaves no slack.
+constexpr double relevantEffect = 4;
+constexpr double prohibitiveEffect = 16;
+// Longer than the delay between two placement attempts of a job.
+constexpr Milliseconds retryInterval { 25 };
+constexpr Milliseconds pollInterval { 1000 };
 
 WorkerId makeWorkerId(int index) { return WorkerId("i-" + std::to_string(1'000'000'000 + index)); }
 
@@ -31,11 +43,42 @@
     step->estimate_ms = 320;
     step->long_running = true;
     step->target_ms = 45;
-    step->image = "image" + std::to_string(index % 10);
+    step->image = "image" + std::to_string(index % servingImageCount);
     spec->steps.push_back(std::move(step));
     return spec;
 }
 
+struct BatchDemand {
+    std::int64_t cpuMillis = 0;
+    std::int64_t memoryMb = 0;
+    bool isFilling = false;
+    std::string image;
+};
+
+std::shared_ptr<schema::GraphJobSpecT> makeBatchSpec(int index, std::uint32_t taskCount, const BatchDemand& demand)
+{
+    auto spec = std::make_shared<schema::GraphJobSpecT>();
+    spec->job = std::to_string(2'000'000'000'000'000 + index);
+    spec->queue = "host/queue/";
+    spec->accepted_at_ms = wallMs;
+    spec->policy = std::make_unique<schema::QueuePolicyT>();
+    spec->policy->service = "service";
+    spec->policy->stretch = 2;
+    auto step = std::make_unique<schema::StepSpecT>();
+    step->count = taskCount;
+    step->cpu_millis = demand.cpuMillis;
+    step->memory_mb = demand.memoryMb;
+    step->estimate_ms = 2000;
+    step->fills = demand.isFilling;
+    step->speculative = !demand.isFilling;
+    step->image = demand.image;
+    spec->steps.push_back(std::move(step));
+    return spec;
+}
+
+const BatchDemand fillingDemand { 1800, 3200, true, "filling" };
+const BatchDemand plainDemand { 2600, 5200, false, "plain" };
+
 // A leader in steady state: as many standing tasks as the workers hold, all executed.
 struct Leader {
     explicit Leader(int workerCount)
@@ -78,8 +121,24 @@
         onPollReport(state, id, report, now, now, wallMs, orders);
     }
 
+    // Polls all workers once a second, outside the measured time. Without it, all runs lapse and no worker is used.
+    void pollIfDue(benchmark::State& bench)
+    {
+        if (now - polledAt < pollInterval)
+            return;
+        bench.PauseTiming();
+        polledAt = now;
+        for (auto& [id, worker] : state.workers) {
+            poll(id);
+            extendLease(state, worker, now);
+        }
+        orders.clear();
+        bench.ResumeTiming();
+    }
+
     State state;
     MonotonicTime now { std::chrono::hours(1) };
+    MonotonicTime polledAt;
     Orders orders;
 };
 
@@ -88,6 +147,7 @@
     Leader leader(static_cast<int>(bench.range(0)));
     for (auto _ : bench) {
         leader.now += Milliseconds(1);
+        leader.pollIfDue(bench);
         onTick(leader.state, leader.now, wallMs, leader.orders);
         leader.orders.clear();
     }
@@ -114,9 +174,78 @@
     }
 }
 
+// Lets the model learn the effect of a filling image on every n-th serving image.
+void learnEffect(State& state, const std::string& filling, double effect, int stride)
+{
+    const auto number = state.interference.getImageNumber(filling);
+    for (int i = 0; i < servingImageCount; i += stride) {
+        const auto serving = state.interference.getImageNumber("image" + std::to_string(i));
+        for (const auto use : { 0.0, 0.5, 1.0 })
+            state.interference.add({ serving, 2.4 - effect * use, 0, { { number, use } } });
+    }
+}
+
+// The workers are nine tenths full of standing tasks. Each iteration places the tasks of one step, starting from the same state.
+void placements(benchmark::State& bench, const BatchDemand& demand)
+{
+    Leader leader(static_cast<int>(bench.range(0)));
+    learnEffect(leader.state, demand.image, relevantEffect, 3);
+    leader.state.interference.refit();
+    std::size_t placed = 0;
+    for (auto _ : bench) {
+        bench.PauseTiming();
+        auto state = std::make_unique<State>(leader.state);
+        Orders orders;
+        addJob(*state, makeBatchSpec(0, stepTasks, demand), nullptr, {}, leader.now, wallMs);
+        bench.ResumeTiming();
+        advance(*state, leader.now, orders);
+        bench.PauseTiming();
+        placed += countRuns(state->jobs.at(GraphJobId(makeBatchSpec(0, stepTasks, demand)->job)));
+        state.reset();
+        bench.ResumeTiming();
+    }
+    bench.counters["placed"] = static_cast<double>(placed) / static_cast<double>(bench.iterations());
+}
+
+// Demands that no worker can take, in turn for lack of CPU, of CPU headroom and of slack.
+BatchDemand makeUnplaceableDemand(int index)
+{
+    const auto image = "backlog" + std::to_string(index);
+    if (index % 3 == 0)
+        return { 17'000 + index * 10, 5200, false, image };
+    if (index % 3 == 1)
+        return { 18'000 + index * 10, 3200, true, image };
+    return { 1800, 3200, true, image };
+}
+
+// A pass that tries each job of a backlog and places none.
+void backlogs(benchmark::State& bench)
+{
+    Leader leader(static_cast<int>(bench.range(0)));
+    auto& state = leader.state;
+    for (int i = 0; i < backlogJobs; ++i)
+        learnEffect(state, makeUnplaceableDemand(i).image, prohibitiveEffect, 1);
+    for (int i = 0; i < backlogJobs; ++i)
+        addJob(state, makeBatchSpec(i, stepTasks, makeUnplaceableDemand(i)), nullptr, {}, leader.now, wallMs);
+    state.interference.refit();
+    // Fills the few workers without standing tasks, which have slack for any image.
+    advance(state, leader.now, leader.orders);
+    for (auto _ : bench) {
+        leader.now += retryInterval;
+        leader.pollIfDue(bench);
+        advance(state, leader.now, leader.orders);
+        leader.orders.clear();
+    }
+    bench.counters["waiting"]
+        = static_cast<double>(std::ranges::count_if(state.jobs, [](const auto& it) { return it.second.hasWaitingTasks; }));
+}
+
 BENCHMARK(ticks)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
 BENCHMARK(passes)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
 BENCHMARK(polls)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(placements, filling, fillingDemand)->Arg(490)->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(placements, plain, plainDemand)->Arg(490)->Unit(benchmark::kMicrosecond);
+BENCHMARK(backlogs)->Arg(490)->Unit(benchmark::kMicrosecond);
 
 } // namespace
 
