--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -185,23 +185,42 @@
     }
 }
 
+// Removes a job as if it had never been placed.
+void removeJob(State& state, const GraphJobId& id, const std::map<WorkerId, Worker>& before, MonotonicTime now)
+{
+    for (auto& [number, occurrence] : state.jobs.at(id).occurrences) {
+        for (std::uint32_t index = 0; index < occurrence.steps[0].tasks.size(); ++index) {
+            const auto runs = occurrence.steps[0].tasks[index].runs;
+            for (const auto& run : runs) {
+                releaseRun(state, { { id, number, 0, index }, run.number }, now);
+                state.workers.at(run.worker).minSlacks = before.at(run.worker).minSlacks;
+            }
+        }
+    }
+    state.active.erase(id);
+    state.dirty.erase(id);
+    state.jobs.erase(id);
+}
+
 // The workers are nine tenths full of standing tasks. Each iteration places the tasks of one step, starting from the same state.
 void placements(benchmark::State& bench, const BatchDemand& demand)
 {
     Leader leader(static_cast<int>(bench.range(0)));
-    learnEffect(leader.state, demand.image, relevantEffect, 3);
-    leader.state.interference.refit();
+    auto& state = leader.state;
+    learnEffect(state, demand.image, relevantEffect, 3);
+    state.interference.refit();
+    const auto before = state.workers;
+    const auto spec = makeBatchSpec(0, stepTasks, demand);
     std::size_t placed = 0;
     for (auto _ : bench) {
         bench.PauseTiming();
-        auto state = std::make_unique<State>(leader.state);
-        Orders orders;
-        addJob(*state, makeBatchSpec(0, stepTasks, demand), nullptr, {}, leader.now, wallMs);
+        const auto* job = addJob(state, spec, nullptr, {}, leader.now, wallMs);
         bench.ResumeTiming();
-        advance(*state, leader.now, orders);
+        advance(state, leader.now, leader.orders);
         bench.PauseTiming();
-        placed += countRuns(state->jobs.at(GraphJobId(makeBatchSpec(0, stepTasks, demand)->job)));
-        state.reset();
+        placed += countRuns(*job);
+        removeJob(state, GraphJobId(spec->job), before, leader.now);
+        leader.orders.clear();
         bench.ResumeTiming();
     }
     bench.counters["placed"] = static_cast<double>(placed) / static_cast<double>(bench.iterations());
