Compare the room of workers by integers only

Cause: the comparison of a step with the room of a worker called four functions and divided to get the CPU headroom, 490 times for each waiting job.

Change: the largest filling task that leaves the minimum headroom is computed with the room, and the comparison is inline.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -203,7 +203,10 @@
 
     Resources& operator+=(const Resources&);
     Resources& operator-=(const Resources&);
-    bool fitsInto(const Resources&) const;
+    bool fitsInto(const Resources& room) const
+    {
+        return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
 };
 
 struct UncommittedEnd {
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -46,11 +46,6 @@
     return *this;
 }
 
-bool Resources::fitsInto(const Resources& room) const
-{
-    return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
-}
-
 const schema::QueuePolicyT& getPolicy(const State& state, const Job& job)
 {
     const auto it = state.queues.find(job.queue);
--- a/libs/scheduler/src/OpenWorkers.cpp
+++ b/libs/scheduler/src/OpenWorkers.cpp
@@ -12,11 +12,18 @@
     {
         auto free = worker.capacity;
         free -= worker.reserved;
-        return { &worker, free, worker.capacity.cpuMillis, expectedCpuUse(worker) };
+        return { &worker, free, maxFillingCpu(worker) };
     }
 
 } // namespace
 
+RoomDemand::RoomDemand(const schema::StepSpecT& step)
+    : reserved(computeDemand(step))
+{
+    if (step.fills)
+        fillingCpu = step.cpu_millis;
+}
+
 OpenWorkers::OpenWorkers(State& state)
     : m_state(state)
 {
@@ -44,10 +51,4 @@
         *it = makeRoom(worker);
 }
 
-bool mayFit(const WorkerRoom& room, const schema::StepSpecT& step)
-{
-    const bool fits = computeDemand(step).fitsInto(room.free);
-    return fits && (!step.fills || hasCpuHeadroom(cpuHeadroom(room.cpuCapacity, room.cpuUse, step)));
-}
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -77,10 +77,10 @@
     {
         std::vector<std::pair<double, WorkerId>> candidates;
         const auto& task = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
+        const RoomDemand demand(getStepSpec(job, ref.step));
         for (const auto& room : open.ofService(getPolicy(state, job).service)) {
             const auto& worker = *room.worker;
-            const bool lacksPermit
-                = mayFit(room, getStepSpec(job, ref.step)) && findOpenRejectReason(state, worker, job, ref, now) == RejectReason::NoPermit;
+            const bool lacksPermit = demand.mayFit(room) && findOpenRejectReason(state, worker, job, ref, now) == RejectReason::NoPermit;
             if (lacksPermit)
                 candidates.emplace_back(-computeScore(state, worker, job, ref.step, hasFailedOn(task, worker), now), worker.id);
         }
--- a/libs/scheduler/src/RejectReason.cpp
+++ b/libs/scheduler/src/RejectReason.cpp
@@ -19,6 +19,15 @@
     // A worker with runs that has not answered for this time gets no new task.
     constexpr Milliseconds maxAnswerAge { 2800 };
 
+    double getCpuCapacity(const Worker& worker) { return static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1)); }
+
+    // In millicores.
+    std::int64_t expectedCpuUse(const Worker& worker)
+    {
+        const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
+        return others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis;
+    }
+
     bool hasLabel(const Worker& worker, const std::string& label)
     {
         return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
@@ -51,7 +60,7 @@
     // Filling tasks without enough CPU only slow down each other and the serving tasks, so they wait instead.
     RejectReason checkFilling(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
     {
-        if (!hasCpuHeadroom(cpuHeadroom(worker, step)))
+        if (cpuHeadroom(worker, step) < minCpuHeadroom)
             return RejectReason::CpuHeadroom;
         if (!hasSlackFor(state, worker, image, step.cpu_millis))
             return RejectReason::LatencySlack;
@@ -102,24 +111,18 @@
 
 Resources computeDemand(const schema::StepSpecT& step) { return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators }; }
 
-std::int64_t expectedCpuUse(const Worker& worker)
-{
-    const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
-    return others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis;
-}
-
-double cpuHeadroom(std::int64_t capacity, std::int64_t used, const schema::StepSpecT& step)
+double cpuHeadroom(const Worker& worker, const schema::StepSpecT& step)
 {
-    return static_cast<double>(capacity - used - step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(capacity, 1));
+    return static_cast<double>(worker.capacity.cpuMillis - expectedCpuUse(worker) - step.cpu_millis) / getCpuCapacity(worker);
 }
 
-double cpuHeadroom(const Worker& worker, const schema::StepSpecT& step)
+std::int64_t maxFillingCpu(const Worker& worker)
 {
-    return cpuHeadroom(worker.capacity.cpuMillis, expectedCpuUse(worker), step);
+    // One millicore more than the exact limit, so that rounding rejects no task.
+    const auto overcommitted = static_cast<std::int64_t>(-minCpuHeadroom * getCpuCapacity(worker)) + 1;
+    return worker.capacity.cpuMillis - expectedCpuUse(worker) + overcommitted;
 }
 
-bool hasCpuHeadroom(double headroom) { return headroom >= minCpuHeadroom; }
-
 bool isOpen(const State& state, const Worker& worker)
 {
     const bool isAnswering = worker.hasSeenFence && worker.missedPolls == 0;
--- a/libs/scheduler/src/RejectReason.h
+++ b/libs/scheduler/src/RejectReason.h
@@ -41,13 +41,9 @@
 
 // Resources that a task of the step reserves.
 Resources computeDemand(const schema::StepSpecT&);
-// CPU that the runs on the worker are expected to use, in millicores.
-std::int64_t expectedCpuUse(const Worker&);
 // Returns the fraction of the worker's CPU that remains with the task placed; negative if the worker is overcommitted.
 double cpuHeadroom(const Worker&, const schema::StepSpecT&);
-// The same for a CPU capacity and an expected CPU use, in millicores.
-double cpuHeadroom(std::int64_t capacity, std::int64_t used, const schema::StepSpecT&);
-// Returns true if the headroom is enough for a filling task.
-bool hasCpuHeadroom(double headroom);
+// Returns the CPU in millicores above which a filling task certainly leaves too little headroom on the worker.
+std::int64_t maxFillingCpu(const Worker&);
 
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/StepCandidates.cpp
+++ b/libs/scheduler/src/StepCandidates.cpp
@@ -77,9 +77,9 @@
     , m_task(task)
     , m_now(now)
 {
-    const auto& step = getStepSpec(job, task.step);
+    const RoomDemand demand(getStepSpec(job, task.step));
     for (const auto& room : workers.ofService(getPolicy(state, job).service)) {
-        const bool isConsidered = mayFit(room, step) && (!rack || room.worker->rack == *rack);
+        const bool isConsidered = demand.mayFit(room) && (!rack || room.worker->rack == *rack);
         if (isConsidered && canTake(*room.worker))
             m_candidates.push_back({ room.worker, computeScore(state, *room.worker, job, task.step, false, now) });
     }
