Check only the runs that need it at each tick

Cause: each tick copied the set of run references of each worker twice and looked each run up several times by strings, although almost no run needs an order or is stalled.

Change: the runs that need a check are collected from the jobs first, and processed in the same order as before.

--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Health.h"
 
+#include "JobRuns.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
@@ -101,19 +102,16 @@
 
 void checkProgress(State& state, MonotonicTime now, Orders& orders)
 {
-    for (auto& [id, worker] : state.workers) {
+    WorkerRuns stalled;
+    const auto isWanted = [&](const Job&, const schema::StepSpecT& step, const Task&, const Run& run) { return isStalled(step, run, now); };
+    collectRuns(state, isWanted, stalled);
+    for (const auto& [id, ref] : stalled) {
+        auto& worker = state.workers.at(id);
         // Without a recent answer the readings are outdated, which does not mean that the runs are stalled.
         if (now - worker.lastAnswerAt > stallTimeout)
             continue;
-        const auto refs = worker.runs;
-        for (const auto& ref : refs) {
-            const auto* run = findRun(state, ref);
-            const auto* job = findJob(state, ref.task.job);
-            if (!run || !job || !isStalled(getStepSpec(*job, ref.task.step), *run, now))
-                continue;
-            recordStall(state, worker, ref, now, orders);
-            stopRun(state, ref, StopReason::NoProgress, now, orders);
-        }
+        recordStall(state, worker, ref, now, orders);
+        stopRun(state, ref, StopReason::NoProgress, now, orders);
     }
 }
 
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Runs.h"
 
+#include "JobRuns.h"
 #include "scheduler/Advice.h"
 #include "scheduler/Health.h"
 #include "scheduler/Jobs.h"
@@ -147,6 +148,29 @@
             worker->leaseEnd = std::max(worker->leaseEnd, now + longest);
     }
 
+    // Returns true if checkRun would order something for the run while its lease lasts.
+    bool needsOrder(const Job& job, const Task& task, const Run& run, MonotonicTime now)
+    {
+        if (run.phase == RunPhase::Running)
+            return hasEnded(job) || task.isDone;
+        const bool isUnanswered = run.phase == RunPhase::Starting || (run.phase == RunPhase::Stopping && !run.stopConfirmedAt);
+        return isUnanswered && !run.isOrderInFlight && now - run.orderedAt >= resendDelay;
+    }
+
+    // Almost no run needs a check, so those that may need one are found first.
+    WorkerRuns collectRunsToCheck(const State& state, MonotonicTime now)
+    {
+        WorkerRuns runs;
+        for (const auto& [id, worker] : state.workers) {
+            if (now > worker.leaseEnd)
+                std::ranges::for_each(worker.runs, [&](const RunRef& ref) { runs.emplace(id, ref); });
+        }
+        const auto isWanted
+            = [&](const Job& job, const schema::StepSpecT&, const Task& task, const Run& run) { return needsOrder(job, task, run, now); };
+        collectRuns(state, isWanted, runs);
+        return runs;
+    }
+
     void checkRun(State& state, const RunRef& ref, Worker& worker, MonotonicTime now, Orders& orders)
     {
         auto* run = findRun(state, ref);
@@ -480,10 +504,8 @@
 
 void checkRuns(State& state, MonotonicTime now, Orders& orders)
 {
-    for (auto& entry : state.workers) {
-        const auto refs = entry.second.runs;
-        std::ranges::for_each(refs, [&](const RunRef& ref) { checkRun(state, ref, entry.second, now, orders); });
-    }
+    for (const auto& [id, ref] : collectRunsToCheck(state, now))
+        checkRun(state, ref, state.workers.at(id), now, orders);
 }
 
 } // namespace kingcuploom::scheduler
