Look each reported run up once, without copies of the worker's run references

Cause: a poll report copied the references of the worker's runs twice, to find those that are missing, and looked each run, its task and its job up separately by strings, again when paces are sent.

Change: a run is looked up together with its task and job, and the missing runs are found by a search in the sorted report.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -343,11 +343,20 @@
     std::vector<RunRef> recordedRuns;
 };
 
+// A run with its task and its job.
+struct RunEntry {
+    Job* job = nullptr;
+    Task* task = nullptr;
+    Run* run = nullptr;
+};
+
 const schema::QueuePolicyT& getPolicy(const State&, const Job&);
 const schema::StepSpecT& getStepSpec(const Job&, std::uint32_t step);
 // Returns null if the job, the occurrence or the task is unknown.
 Task* findTask(State&, const TaskRef&);
 Run* findRun(State&, const RunRef&);
+// Returns null pointers if the run is unknown.
+RunEntry findRunEntry(State&, const RunRef&);
 Job* findJob(State&, const GraphJobId&);
 Worker* findWorker(State&, const WorkerId&);
 bool hasEnded(const Job&);
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -65,7 +65,7 @@
 
     void processListedRun(State& state, Worker& worker, const ListedRun& listed, MonotonicTime now, Orders& orders)
     {
-        auto* run = findRun(state, listed.run);
+        const auto [job, task, run] = findRunEntry(state, listed.run);
         if (!run || run->worker != worker.id) {
             orders.emplace_back(Decision { "run_unknown", toString(listed.run), worker.id, "stopped", {}, listed.percent });
             orders.emplace_back(StopOrder { listed.run, worker.id, StopReason::JobEnded });
@@ -79,7 +79,6 @@
             if (run->phase == RunPhase::Unverified)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
-            auto* job = findJob(state, listed.run.task.job);
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
         }
@@ -90,11 +89,24 @@
         run->percent = listed.percent;
         run->figure = listed.figure;
         run->checkpoint = listed.checkpoint;
-        const bool isUnneeded = hasEnded(*findJob(state, listed.run.task.job)) || findTask(state, listed.run.task)->isDone;
+        const bool isUnneeded = hasEnded(*job) || task->isDone;
         if (isUnneeded)
             stopRun(state, listed.run, StopReason::JobEnded, now, orders);
     }
 
+    // Returns the recorded runs of the worker that its report does not list.
+    std::vector<RunRef> findMissingRuns(const Worker& worker, const PollReport& report)
+    {
+        std::vector<const RunRef*> listed;
+        std::ranges::transform(report.running, std::back_inserter(listed), [](const ListedRun& it) { return &it.run; });
+        const auto dereference = [](const RunRef* it) -> const RunRef& { return *it; };
+        std::ranges::sort(listed, {}, dereference);
+        std::vector<RunRef> missing;
+        std::ranges::copy_if(worker.runs, std::back_inserter(missing),
+            [&](const RunRef& ref) { return !std::ranges::binary_search(listed, ref, {}, dereference); });
+        return missing;
+    }
+
     // Handles a recorded run that the worker's report does not list.
     void processMissingRun(State& state, Worker& worker, const RunRef& ref, MonotonicTime sentAt, MonotonicTime now, Orders& orders)
     {
@@ -194,20 +206,14 @@
     worker->missedPolls = 0;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
-    const auto before = worker->runs;
     for (const auto& end : report.ends) {
         if (end.number > worker->lastSeenEnd)
             onEnd(state, *worker, end, now, wallMs, orders);
     }
-    std::set<RunRef> listed;
-    for (const auto& run : report.running) {
-        listed.insert(run.run);
+    for (const auto& run : report.running)
         processListedRun(state, *worker, run, now, orders);
-    }
-    for (const auto& ref : before) {
-        if (!listed.contains(ref) && worker->runs.contains(ref))
-            processMissingRun(state, *worker, ref, sentAt, now, orders);
-    }
+    for (const auto& ref : findMissingRuns(*worker, report))
+        processMissingRun(state, *worker, ref, sentAt, now, orders);
     controlPace(state, *worker, now, orders);
     const auto pause = worker->uncommittedEnds.empty() ? pollDelay : uncommittedPollDelay;
     worker->nextPollAt = now + (worker->runs.empty() && worker->uncommittedEnds.empty() ? idlePollInterval : pause);
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -66,25 +66,35 @@
     return it == state.workers.end() ? nullptr : &it->second;
 }
 
+namespace {
+
+    Task* findTask(Job& job, const TaskRef& ref)
+    {
+        const auto it = job.occurrences.find(ref.occurrence);
+        if (it == job.occurrences.end() || ref.step >= it->second.steps.size())
+            return nullptr;
+        auto& tasks = it->second.steps[ref.step].tasks;
+        return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+    }
+
+} // namespace
+
 Task* findTask(State& state, const TaskRef& ref)
 {
     auto* job = findJob(state, ref.job);
-    if (!job)
-        return nullptr;
-    const auto it = job->occurrences.find(ref.occurrence);
-    if (it == job->occurrences.end() || ref.step >= it->second.steps.size())
-        return nullptr;
-    auto& tasks = it->second.steps[ref.step].tasks;
-    return ref.index < tasks.size() ? &tasks[ref.index] : nullptr;
+    return job ? findTask(*job, ref) : nullptr;
 }
 
-Run* findRun(State& state, const RunRef& ref)
+Run* findRun(State& state, const RunRef& ref) { return findRunEntry(state, ref).run; }
+
+RunEntry findRunEntry(State& state, const RunRef& ref)
 {
-    auto* task = findTask(state, ref.task);
+    auto* job = findJob(state, ref.task.job);
+    auto* task = job ? findTask(*job, ref.task) : nullptr;
     if (!task)
-        return nullptr;
+        return {};
     const auto it = std::ranges::find(task->runs, ref.run, &Run::number);
-    return it == task->runs.end() ? nullptr : &*it;
+    return it == task->runs.end() ? RunEntry {} : RunEntry { job, task, &*it };
 }
 
 bool hasEnded(const Job& job)
--- a/libs/scheduler/src/Pacing.cpp
+++ b/libs/scheduler/src/Pacing.cpp
@@ -82,9 +82,8 @@
     {
         Reading reading;
         for (const auto& ref : worker.runs) {
-            const auto* job = findJob(state, ref.task.job);
-            auto* run = findRun(state, ref);
-            if (!job || !run || !run->isListed)
+            const auto [job, task, run] = findRunEntry(state, ref);
+            if (!run || !run->isListed)
                 continue;
             const auto& step = getStepSpec(*job, ref.task.step);
             const auto image = job->images[ref.task.step];
@@ -262,9 +261,8 @@
 void sendPaces(State& state, Worker& worker, Orders& orders)
 {
     for (const auto& ref : worker.runs) {
-        const auto* job = findJob(state, ref.task.job);
-        auto* run = findRun(state, ref);
-        if (!job || !run || run->phase != RunPhase::Running || !getStepSpec(*job, ref.task.step).fills)
+        const auto [job, task, run] = findRunEntry(state, ref);
+        if (!run || run->phase != RunPhase::Running || !getStepSpec(*job, ref.task.step).fills)
             continue;
         const auto it = worker.paces.find(job->images[ref.task.step]);
         run->pace = it == worker.paces.end() ? 100 : it->second;
