--- a/libs/scheduler/src/RejectReason.cpp
+++ b/libs/scheduler/src/RejectReason.cpp
@@ -19,6 +19,15 @@
     // A worker with runs that has not answered for this time gets no new task.
     constexpr Milliseconds maxAnswerAge { 2800 };
 
+    double getCpuCapacity(const Worker& worker) { return static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1)); }
+
+    // In millicores.
+    std::int64_t expectedCpuUse(const Worker& worker)
+    {
+        const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
+        return others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis;
+    }
+
     bool hasLabel(const Worker& worker, const std::string& label)
     {
         return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
@@ -31,16 +40,10 @@
         }));
     }
 
-    Resources computeDemand(const schema::StepSpecT& step)
-    {
-        return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators };
-    }
-
-    bool isAvailable(const State& state, const Worker& worker, MonotonicTime now)
+    // Whether an open worker may get a task depends on its runs, and so on the tasks that the pass has already placed there.
+    bool isUsable(const Worker& worker, MonotonicTime now)
     {
-        const bool isAnswering = worker.missedPolls == 0 && (now - worker.lastAnswerAt < maxAnswerAge || worker.runs.empty());
-        return worker.isListed && worker.hasSeenFence && !worker.isDraining && isAnswering && !state.closedDomains.contains(worker.domain)
-            && isHealthy(worker, now);
+        return (now - worker.lastAnswerAt < maxAnswerAge || worker.runs.empty()) && isHealthy(worker, now);
     }
 
     RejectReason checkCapacity(const Worker& worker, const schema::StepSpecT& step)
@@ -106,20 +109,30 @@
     return "no_permit";
 }
 
+Resources computeDemand(const schema::StepSpecT& step) { return { step.fills ? 0 : step.cpu_millis, step.memory_mb, step.accelerators }; }
+
 double cpuHeadroom(const Worker& worker, const schema::StepSpecT& step)
 {
-    const auto others = worker.reserved.cpuMillis - worker.servingCpuMillis;
-    const auto used = others + worker.servingCpuMillis * servingUsePercent / 100 + worker.fillingCpuMillis + step.cpu_millis;
-    return static_cast<double>(worker.capacity.cpuMillis - used)
-        / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
+    return static_cast<double>(worker.capacity.cpuMillis - expectedCpuUse(worker) - step.cpu_millis) / getCpuCapacity(worker);
 }
 
-RejectReason findRejectReason(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
+std::int64_t maxFillingCpu(const Worker& worker)
+{
+    // One millicore more than the exact limit, so that rounding rejects no task.
+    const auto overcommitted = static_cast<std::int64_t>(-minCpuHeadroom * getCpuCapacity(worker)) + 1;
+    return worker.capacity.cpuMillis - expectedCpuUse(worker) + overcommitted;
+}
+
+bool isOpen(const State& state, const Worker& worker)
+{
+    const bool isAnswering = worker.hasSeenFence && worker.missedPolls == 0;
+    return worker.isListed && !worker.isDraining && isAnswering && !state.closedDomains.contains(worker.domain);
+}
+
+RejectReason findOpenRejectReason(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
 {
     const auto& step = getStepSpec(job, ref.step);
-    if (worker.service.value() != getPolicy(state, job).service)
-        return RejectReason::ServiceMismatch;
-    if (!isAvailable(state, worker, now))
+    if (!isUsable(worker, now))
         return RejectReason::Unavailable;
     if (!hasLabel(worker, step.required_label))
         return RejectReason::LabelMismatch;
@@ -132,6 +145,13 @@
     return obstacle == RejectReason::None && isAdvised(state, job) ? checkPermit(state, worker, toStepRef(ref), now) : obstacle;
 }
 
+RejectReason findRejectReason(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
+{
+    if (worker.service.value() != getPolicy(state, job).service)
+        return RejectReason::ServiceMismatch;
+    return isOpen(state, worker) ? findOpenRejectReason(state, worker, job, ref, now) : RejectReason::Unavailable;
+}
+
 std::string describeRejections(const State& state, const Job& job, const TaskRef& ref, MonotonicTime now)
 {
     std::map<std::string, int> counts;
