--- a/libs/scheduler/tests/RandomFleet.cpp
+++ b/libs/scheduler/tests/RandomFleet.cpp
@@ -181,7 +181,7 @@
             worker.health.isOnProbation = happens(10);
             worker.health.avoidUntil = happens(15) ? near(0, 1500) : MonotonicTime();
             worker.health.quarantinedUntil = happens(4) ? near(-100, 3000) : MonotonicTime();
-            worker.capacityRefusedUntil = happens(4) ? near(-100, 400) : MonotonicTime();
+            worker.refusedUntil = happens(4) ? near(-100, 400) : MonotonicTime();
             worker.drainingSince = near(-3000, 0);
             for (const auto& [image, count] : worker.servingImages)
                 worker.minSlacks[image] = 0.8 + 0.01 * static_cast<double>(below(200));
