--- a/libs/scheduler/tests/RandomFleet.cpp
+++ b/libs/scheduler/tests/RandomFleet.cpp
@@ -177,6 +177,7 @@
             worker.clockMs = 1000;
             worker.clockAt = fleetTime;
             worker.lastAnswerAt = near(-3100, 0);
+            worker.reportedAt = worker.lastAnswerAt;
             worker.leaseEnd = near(-500, 8000);
             worker.health.isOnProbation = happens(10);
             worker.health.avoidUntil = happens(15) ? near(0, 1500) : MonotonicTime();
