Let tasks of the soak fail once or several times by their own fault

In the soak, tasks failed at every attempt or never. A standing task never ended by itself, so its restart was checked only after faults of executors.

The stand-in executor knows two more words of a payload: runs up to the number "fail_runs" fail, a standing task after a random time below "fail_ms". 70% of the standing jobs fail up to eight times, 15% of the others once.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -20,9 +20,29 @@
     // Long-running jobs run to the end of the soak; more of them would leave no capacity for other jobs.
     constexpr unsigned maxLongRunningJobs = 10;
     constexpr std::uint64_t failingPercent = 5;
+    constexpr std::uint64_t failingOncePercent = 15;
+    constexpr std::uint64_t failingLongRunningPercent = 70;
+    // Failures of a long-running task go on beyond the faults but end before the last check.
+    constexpr std::uint64_t maxFailingRuns = 8;
+    constexpr std::uint64_t minTimeToFailureMs = 500;
+    constexpr std::uint64_t timeToFailureJitterMs = 3500;
     constexpr std::uint64_t cancelledPercent = 12;
     constexpr std::uint64_t hundredPercent = 100;
 
+    // Words of the payload that let runs fail by their own fault, fewer times than the queue allows. The job's seed is used instead of the
+    // caller's generator, so that the jobs of a seed stay the same.
+    std::string failureWords(const JobRecord& job, std::uint64_t seed)
+    {
+        Random random(seed);
+        const auto percent = random.below(hundredPercent);
+        if (job.isLongRunning && percent < failingLongRunningPercent) {
+            const auto runs = 1 + random.below(maxFailingRuns);
+            const auto timeMs = minTimeToFailureMs + random.below(timeToFailureJitterMs);
+            return " fail_runs=" + std::to_string(runs) + " fail_ms=" + std::to_string(timeMs);
+        }
+        return !job.isLongRunning && !job.isExpectedToFail && percent < failingOncePercent ? " fail_runs=1" : "";
+    }
+
     std::string submissionBody(const JobRecord& job)
     {
         http::Json steps(json_array());
@@ -75,8 +95,9 @@
 
 JobRecord Callers::createJob(Random& random)
 {
+    const auto number = random.next();
     std::ostringstream id;
-    id << std::hex << std::setw(16) << std::setfill('0') << random.next();
+    id << std::hex << std::setw(16) << std::setfill('0') << number;
     JobRecord job;
     job.id = id.str();
     job.isLongRunning = random.below(hundredPercent) < longRunningPercent && m_longRunningJobs++ < maxLongRunningJobs;
@@ -84,11 +105,11 @@
     const auto steps = job.isLongRunning ? 1 : 1 + random.below(3);
     for (std::uint64_t i = 0; i < steps; ++i)
         job.counts.push_back(static_cast<unsigned>(1 + random.below(3)));
-    // A job that is expected to fail has to fail on every executor; tasks of other jobs never fail.
+    // A job that is expected to fail has to fail on every executor; tasks of other jobs fail less often than the queue allows.
     const auto failures = job.isExpectedToFail ? Cluster::maxAttempts : 0;
     const auto workMs = 50 + random.below(500);
     job.payload = "work_ms=" + std::to_string(workMs) + " cpu=400 fail=" + std::to_string(failures * 100)
-        + " stands=" + (job.isLongRunning ? "1" : "0");
+        + " stands=" + (job.isLongRunning ? "1" : "0") + failureWords(job, number);
     m_checker.addJob(job);
     return job;
 }
--- a/tests/standins/platform/ExecutorModel.cpp
+++ b/tests/standins/platform/ExecutorModel.cpp
@@ -1,5 +1,7 @@
 #include "ExecutorModel.h"
 
+#include "base/Random.h"
+
 #include <algorithm>
 #include <sstream>
 
@@ -12,6 +14,20 @@
 
     MonotonicTime steadyNow() { return std::chrono::steady_clock::now(); }
 
+    // The time depends on the task and the run only, so that it is the same on every executor.
+    Milliseconds timeToFailure(const TaskSpec& spec, const std::string& task, std::int64_t run)
+    {
+        Random random(std::hash<std::string> {}(task) + static_cast<std::uint64_t>(run));
+        return longRunningStartup + Milliseconds(random.below(static_cast<std::uint64_t>(spec.maxTimeToFailure.count())));
+    }
+
+    std::optional<Milliseconds> totalWork(const TaskSpec& spec, const std::string& task, std::int64_t run, bool willFail)
+    {
+        if (!spec.isLongRunning)
+            return spec.duration;
+        return willFail ? std::optional(timeToFailure(spec, task, run)) : std::nullopt;
+    }
+
 } // namespace
 
 TaskSpec parseTaskSpec(const std::string& payload)
@@ -28,6 +44,10 @@
             spec.cpuMillis = value;
         else if (name == "fail")
             spec.failures = value;
+        else if (name == "fail_runs")
+            spec.lastFailingRun = value;
+        else if (name == "fail_ms")
+            spec.maxTimeToFailure = std::max(Milliseconds(value), Milliseconds(1));
         else if (name == "stands")
             spec.isLongRunning = value != 0;
     }
@@ -109,7 +129,7 @@
     std::vector<std::pair<std::string, std::string>> finished;
     for (auto& [task, run] : m_running) {
         run.done += progress * run.speedPercent / 100;
-        if (!run.spec.isLongRunning && run.done >= run.spec.duration)
+        if (run.totalWork && run.done >= *run.totalWork)
             finished.emplace_back(task, run.willFail ? "failed" : "done");
         else if (hasLeaseExpired)
             finished.emplace_back(task, "lapsed");
@@ -157,7 +177,8 @@
     const auto spec = parseTaskSpec(payload);
     if (usedCpu() + spec.cpuMillis > m_cpuMillis)
         return CommandResult::NoCapacity;
-    m_running[task] = { task, run, spec, Milliseconds(0), 100, m_failures[task] < spec.failures };
+    const bool willFail = m_failures[task] < spec.failures || run <= spec.lastFailingRun;
+    m_running[task] = { task, run, spec, Milliseconds(0), 100, willFail, totalWork(spec, task, run, willFail) };
     m_observer({ "start", now, task, run, payload, fence });
     return CommandResult::Done;
 }
--- a/tests/standins/platform/ExecutorModel.h
+++ b/tests/standins/platform/ExecutorModel.h
@@ -14,12 +14,16 @@
 
 namespace kingcuploom::testing {
 
-// Behaviour of a task, parsed from its payload, for example "work_ms=300 cpu=1000 fail=0 stands=0".
+// Behaviour of a task, parsed from its payload, for example "work_ms=300 cpu=1000 fail=0 stands=0 fail_runs=1 fail_ms=500".
 struct TaskSpec {
     Milliseconds duration { 100 };
     std::int64_t cpuMillis = 0;
-    // Number of runs that fail before one succeeds.
+    // Number of runs that fail on each executor before one succeeds.
     std::int64_t failures = 0;
+    // Runs with a number up to this one fail on every executor.
+    std::int64_t lastFailingRun = 0;
+    // A failing run of a long-running task ends after a random time below this one.
+    Milliseconds maxTimeToFailure { 1000 };
     // Runs until it is stopped; "stands" in the payload.
     bool isLongRunning = false;
 };
@@ -44,6 +48,8 @@
     Milliseconds done { 0 };
     int speedPercent = 100;
     bool willFail = false;
+    // Work after which the run ends by itself; empty if it runs until it is stopped.
+    std::optional<Milliseconds> totalWork;
 
     int percent() const;
 };
