Soak: let daemons be short of processor time

The soak only paused daemons as a whole.

The new fault stops a daemon for 60 to 90 ms of each 100 ms, for 2 to 8 s, beside the other faults: in three of five cases the daemon that leads by its log, otherwise a random one or all. Its generator is separate, so that a seed draws its other faults in the same order; those on a daemon that is throttled are left out.

--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -13,15 +13,40 @@
     constexpr Milliseconds exitTimeout { 8000 };
     constexpr unsigned maxStartAttempts = 3;
     constexpr Milliseconds daemonLoadTime { 500 };
+    constexpr Milliseconds throttlePeriod { 100 };
+    constexpr std::uint64_t minStoppedMs = 60;
+    constexpr std::uint64_t maxStoppedMs = 90;
+    constexpr std::uint64_t minThrottleMs = 2000;
+    constexpr std::uint64_t maxThrottleMs = 8000;
+    constexpr std::uint64_t minThrottlePauseMs = 1000;
+    constexpr std::uint64_t maxThrottlePauseMs = 5000;
 
     MonotonicTime steadyNow() { return std::chrono::steady_clock::now(); }
 
+    Milliseconds randomDuration(Random& random, std::uint64_t minMs, std::uint64_t maxMs)
+    {
+        return Milliseconds(minMs + random.below(maxMs - minMs + 1));
+    }
+
+    Milliseconds throttlePause(Random& random) { return randomDuration(random, minThrottlePauseMs, maxThrottlePauseMs); }
+
+    // Returns the time of the last line that begins a leadership, if no later line ends it.
+    std::optional<std::string> leadingSince(const std::string& log)
+    {
+        const auto taken = log.rfind(" event=leadership_taken ");
+        if (taken == std::string::npos || log.find(" event=leadership_", taken + 1) != std::string::npos)
+            return std::nullopt;
+        const auto line = log.rfind('\n', taken) + 1;
+        return log.substr(line, log.find(' ', line) - line);
+    }
+
 } // namespace
 
 FaultInjector::FaultInjector(Cluster& cluster, InvariantChecker& checker, std::uint64_t seed)
     : m_cluster(cluster)
     , m_checker(checker)
     , m_random(seed)
+    , m_throttleRandom(~seed)
     , m_hasDaemonFault(cluster.size().daemons)
     , m_daemonStartedAt(cluster.size().daemons)
     , m_hasExecutorFault(cluster.size().executors)
@@ -30,7 +55,7 @@
 
 Milliseconds FaultInjector::randomDuration(std::uint64_t minMs, std::uint64_t maxMs)
 {
-    return Milliseconds(minMs + m_random.below(maxMs - minMs + 1));
+    return soak::randomDuration(m_random, minMs, maxMs);
 }
 
 void FaultInjector::scheduleRecovery(Milliseconds time, std::function<void()> action)
@@ -54,6 +79,7 @@
 {
     const auto end = steadyNow() + time;
     auto nextFault = steadyNow() + randomDuration(100, 600);
+    auto nextThrottle = steadyNow() + throttlePause(m_throttleRandom);
     auto nextEventRead = steadyNow();
     while (steadyNow() < end) {
         runDueRecoveries(steadyNow());
@@ -61,6 +87,10 @@
             injectFault();
             nextFault = steadyNow() + randomDuration(80, 1100);
         }
+        if (steadyNow() >= nextThrottle) {
+            throttleSomeDaemons();
+            nextThrottle = steadyNow() + throttlePause(m_throttleRandom);
+        }
         if (steadyNow() >= nextEventRead) {
             m_checker.readEvents();
             nextEventRead = steadyNow() + Milliseconds(300);
@@ -169,6 +199,56 @@
     });
 }
 
+std::optional<unsigned> FaultInjector::findLeader()
+{
+    std::optional<unsigned> leader;
+    std::string latest;
+    for (unsigned i = 0; i < m_cluster.size().daemons; ++i) {
+        const auto since = leadingSince(m_cluster.processes().output(Cluster::daemonName(i)));
+        if (since && *since > latest) {
+            leader = i;
+            latest = *since;
+        }
+    }
+    return leader;
+}
+
+void FaultInjector::throttleSomeDaemons()
+{
+    ++m_faultCount;
+    const auto kind = m_throttleRandom.below(5);
+    const auto daemon = static_cast<unsigned>(m_throttleRandom.below(m_cluster.size().daemons));
+    if (kind == 0)
+        return throttleDaemon(daemon);
+    if (kind > 1)
+        return throttleDaemon(findLeader().value_or(daemon));
+    for (unsigned i = 0; i < m_cluster.size().daemons; ++i)
+        throttleDaemon(i);
+}
+
+void FaultInjector::throttleDaemon(unsigned daemon)
+{
+    if (m_hasDaemonFault[daemon])
+        return;
+    m_hasDaemonFault[daemon] = true;
+    const auto stopped = soak::randomDuration(m_throttleRandom, minStoppedMs, maxStoppedMs);
+    std::cout << "fault=throttle_daemon daemon=" << daemon << " stopped_ms=" << stopped.count() << '\n';
+    auto pulses = std::make_shared<std::jthread>(
+        [&processes = m_cluster.processes(), name = Cluster::daemonName(daemon), stopped](const std::stop_token& token) {
+            while (!token.stop_requested()) {
+                (void)processes.sendSignal(name, SIGSTOP);
+                std::this_thread::sleep_for(stopped);
+                (void)processes.sendSignal(name, SIGCONT);
+                std::this_thread::sleep_for(throttlePeriod - stopped);
+            }
+        });
+    scheduleRecovery(soak::randomDuration(m_throttleRandom, minThrottleMs, maxThrottleMs), [this, daemon, pulses] {
+        pulses->request_stop();
+        pulses->join();
+        m_hasDaemonFault[daemon] = false;
+    });
+}
+
 void FaultInjector::restartExecutor(unsigned executor)
 {
     bool isUp = false;
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -5,6 +5,8 @@
 #include "base/Random.h"
 
 #include <functional>
+#include <optional>
+#include <thread>
 
 namespace kingcuploom::soak {
 
@@ -37,6 +39,11 @@
     void terminateDaemon(unsigned);
     void pauseDaemon(unsigned);
     void sendHangup(unsigned);
+    // Stops and resumes the daemon every 100 ms, so that it is short of processor time.
+    void throttleDaemon(unsigned);
+    void throttleSomeDaemons();
+    // The daemon that wrote last that it leads, if one does. A paused or cut off daemon may still be named after it was replaced.
+    std::optional<unsigned> findLeader();
     void killExecutor(unsigned);
     void pauseExecutor(unsigned);
     void pauseStore();
@@ -50,6 +57,8 @@
     Cluster& m_cluster;
     InvariantChecker& m_checker;
     Random m_random;
+    // Separate, so that the other faults of a seed are drawn in the same order as without throttling.
+    Random m_throttleRandom;
     std::vector<Recovery> m_recoveries;
     std::vector<bool> m_hasDaemonFault;
     std::vector<MonotonicTime> m_daemonStartedAt;
