Soak: check while it runs that standing tasks are executed again within 6 s

The soak checked standing tasks only at its end, after up to 30 s.

The bound is that of rule LOST: a standing task of an accepted job for which nobody has sent a cancel request isn't executed for 6 s since its last run, or since its acceptance if it never ran; no fault was active for 7 s; and an executor has had room for the task twice over for 3 s. A violation names the task, the run numbers and the times. The soak records when faults are active, and injects none for 8.5 s after each 12 s of faults, with the callers at work, because the check needs such a time. After the last fault the same check goes on while the soak settles.

The last line also tells how many restarts fell into times without faults, and the longest.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -47,8 +47,8 @@
     {
         http::Json steps(json_array());
         for (std::size_t i = 0; i < job.counts.size(); ++i) {
-            http::Json step(json_pack(
-                "{s:i, s:i, s:i, s:i}", "count", static_cast<int>(job.counts[i]), "cpu", 400, "mem_mb", 100, "est_runtime_ms", 200));
+            http::Json step(json_pack("{s:i, s:i, s:i, s:i}", "count", static_cast<int>(job.counts[i]), "cpu", taskCpuMillis, "mem_mb", 100,
+                "est_runtime_ms", 200));
             if (i > 0)
                 json_object_set_new(step.get(), "after", json_pack("[i]", static_cast<int>(i) - 1));
             if (job.isLongRunning)
@@ -108,7 +108,7 @@
     // A job that is expected to fail has to fail on every executor; tasks of other jobs fail less often than the queue allows.
     const auto failures = job.isExpectedToFail ? Cluster::maxAttempts : 0;
     const auto workMs = 50 + random.below(500);
-    job.payload = "work_ms=" + std::to_string(workMs) + " cpu=400 fail=" + std::to_string(failures * 100)
+    job.payload = "work_ms=" + std::to_string(workMs) + " cpu=" + std::to_string(taskCpuMillis) + " fail=" + std::to_string(failures * 100)
         + " stands=" + (job.isLongRunning ? "1" : "0") + failureWords(job, number);
     m_checker.addJob(job);
     return job;
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr Milliseconds loopInterval { 10 };
+    constexpr Milliseconds eventReadInterval { 300 };
     // Exceeds the duration of a graceful shutdown.
     constexpr Milliseconds exitTimeout { 8000 };
     constexpr unsigned maxStartAttempts = 3;
@@ -51,6 +52,8 @@
     , m_daemonStartedAt(cluster.size().daemons)
     , m_hasExecutorFault(cluster.size().executors)
 {
+    // The start of the processes counts as a fault.
+    checker.recordFaultEnd(checker.recordFaultBegin());
 }
 
 Milliseconds FaultInjector::randomDuration(std::uint64_t minMs, std::uint64_t maxMs)
@@ -60,7 +63,10 @@
 
 void FaultInjector::scheduleRecovery(Milliseconds time, std::function<void()> action)
 {
-    m_recoveries.push_back({ steadyNow() + time, std::move(action) });
+    m_recoveries.push_back({ steadyNow() + time, [this, fault = m_checker.recordFaultBegin(), action = std::move(action)] {
+                                action();
+                                m_checker.recordFaultEnd(fault);
+                            } });
 }
 
 void FaultInjector::runDueRecoveries(MonotonicTime upTo)
@@ -93,12 +99,20 @@
         }
         if (steadyNow() >= nextEventRead) {
             m_checker.readEvents();
-            nextEventRead = steadyNow() + Milliseconds(300);
+            nextEventRead = steadyNow() + eventReadInterval;
         }
         std::this_thread::sleep_for(loopInterval);
     }
 }
 
+void FaultInjector::stayCalm(Milliseconds time)
+{
+    for (const auto end = steadyNow() + time; steadyNow() < end;) {
+        m_checker.readEvents();
+        std::this_thread::sleep_for(eventReadInterval);
+    }
+}
+
 bool FaultInjector::finish()
 {
     // A recovery action can schedule another one.
@@ -139,7 +153,9 @@
         },
     };
     ++m_faultCount;
+    const auto fault = m_checker.recordFaultBegin();
     kinds[m_random.below(kinds.size())]();
+    m_checker.recordFaultEnd(fault);
 }
 
 // Skips a daemon that may still be loading: before the program's first instruction SIGHUP terminates any process, as it did with seed 46.
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -20,6 +20,8 @@
     void run(Milliseconds);
     // Ends all faults, and resumes or restarts all processes. Returns false if a process could not be started.
     bool finish();
+    // Injects nothing for the given duration, in which the bounds of times without faults are checked.
+    void stayCalm(Milliseconds);
 
     std::size_t faultCount() const { return m_faultCount; }
 
--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -37,11 +37,6 @@
         return task;
     }
 
-    std::string taskName(const std::string& job, std::size_t step, unsigned index)
-    {
-        return job + ".0." + std::to_string(step) + '.' + std::to_string(index);
-    }
-
     std::string getField(const std::string& line, const std::string& name)
     {
         const auto at = line.find(' ' + name + '=');
@@ -54,9 +49,10 @@
 
 } // namespace
 
-InvariantChecker::InvariantChecker(std::filesystem::path folder, int maxAttempts)
+InvariantChecker::InvariantChecker(std::filesystem::path folder, int maxAttempts, unsigned executorCount)
     : m_folder(std::move(folder))
     , m_maxAttempts(maxAttempts)
+    , m_standingTasks(m_faults, executorCount)
 {
 }
 
@@ -71,7 +67,9 @@
 void InvariantChecker::recordAccepted(const std::string& id)
 {
     const std::scoped_lock lock(m_mutex);
-    m_jobs.at(id).isAccepted = true;
+    auto& job = m_jobs.at(id);
+    job.isAccepted = true;
+    job.acceptedAt = nowMicroseconds();
 }
 
 void InvariantChecker::recordRefused(const std::string& id)
@@ -113,6 +111,18 @@
         addViolation("accepted job is not known to a daemon: " + id);
 }
 
+std::size_t InvariantChecker::recordFaultBegin()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_faults.begin(nowMicroseconds());
+}
+
+void InvariantChecker::recordFaultEnd(std::size_t fault)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_faults.end(fault, nowMicroseconds());
+}
+
 void InvariantChecker::recordPaused(const std::string& executor)
 {
     const std::scoped_lock lock(m_mutex);
@@ -129,7 +139,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     m_pausedAt.erase(executor);
-    m_events.emplace(toMicroseconds(at), Event { executor, "death", {}, 0, {} });
+    m_events.emplace(toMicroseconds(at), RunEvent { toMicroseconds(at), executor, "death", {}, 0, {} });
 }
 
 void InvariantChecker::readEvents()
@@ -150,18 +160,22 @@
             if (!line.starts_with("event="))
                 continue;
             const auto event = line.substr(6, line.find(' ') - 6);
-            m_events.emplace(std::strtoll(getField(line, "at").c_str(), nullptr, 10),
-                Event { name.substr(0, name.find('.')), event, getField(line, "task"),
+            const auto at = std::strtoll(getField(line, "at").c_str(), nullptr, 10);
+            m_events.emplace(at,
+                RunEvent { at, name.substr(0, name.find('.')), event, getField(line, "task"),
                     std::strtoll(getField(line, "run").c_str(), nullptr, 10), getField(line, "how") });
         }
     }
     while (!m_events.empty() && m_events.begin()->first <= upTo) {
-        processEvent(m_events.begin()->second);
+        const auto& event = m_events.begin()->second;
+        m_standingTasks.checkUpTo(event.at, m_jobs);
+        processEvent(event);
         m_events.erase(m_events.begin());
     }
+    m_standingTasks.checkUpTo(upTo, m_jobs);
 }
 
-void InvariantChecker::processEvent(const Event& event)
+void InvariantChecker::processEvent(const RunEvent& event)
 {
     if (event.name == "start")
         processStart(event);
@@ -170,10 +184,10 @@
     else if (event.name == "noted")
         processAcknowledgement(event);
     else if (event.name == "death")
-        processKilled(event.executor);
+        processKilled(event);
 }
 
-void InvariantChecker::checkStepOrder(const Event& event, const JobRecord& job)
+void InvariantChecker::checkStepOrder(const RunEvent& event, const JobRecord& job)
 {
     const auto step = parseTaskName(event.task).step;
     for (unsigned index = 0; step > 0 && index < job.counts[step - 1]; ++index) {
@@ -182,7 +196,7 @@
     }
 }
 
-void InvariantChecker::processStart(const Event& event)
+void InvariantChecker::processStart(const RunEvent& event)
 {
     ++m_startCount;
     const auto label = event.task + '/' + std::to_string(event.run) + " on " + event.executor;
@@ -190,6 +204,7 @@
     if (it == m_jobs.end())
         return addViolation("started a task that was not submitted: " + label);
     const auto& job = it->second;
+    m_standingTasks.recordStart(event, job.isLongRunning);
     if (event.how != job.payload)
         addViolation("started with a different payload: " + label);
     if (job.isRefused)
@@ -206,16 +221,17 @@
     checkStepOrder(event, job);
 }
 
-void InvariantChecker::processEnd(const Event& event)
+void InvariantChecker::processEnd(const RunEvent& event)
 {
     m_running[event.task].erase(event.executor);
+    m_standingTasks.recordEnd(event);
     if (event.how != "done")
         return;
     m_done.insert(event.task);
     m_lastDoneEnds[event.task] = { event.executor, event.run, false };
 }
 
-void InvariantChecker::processAcknowledgement(const Event& event)
+void InvariantChecker::processAcknowledgement(const RunEvent& event)
 {
     if (event.how == "failed")
         ++m_acknowledgedFailures[event.task];
@@ -227,10 +243,11 @@
         addViolation("started again after an end that was acknowledged later: " + event.task);
 }
 
-void InvariantChecker::processKilled(const std::string& executor)
+void InvariantChecker::processKilled(const RunEvent& event)
 {
+    m_standingTasks.recordDeath(event);
     for (auto& [task, running] : m_running)
-        running.erase(executor);
+        running.erase(event.executor);
 }
 
 std::size_t InvariantChecker::runningCount(const std::string& job) const
@@ -286,7 +303,9 @@
 std::vector<std::string> InvariantChecker::violations() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_violations;
+    auto all = m_violations;
+    all.insert(all.end(), m_standingTasks.violations().begin(), m_standingTasks.violations().end());
+    return all;
 }
 
 std::size_t InvariantChecker::startCount() const
@@ -295,4 +314,10 @@
     return m_startCount;
 }
 
+StandingTaskCheck::Restarts InvariantChecker::calmRestarts() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_standingTasks.calmRestarts();
+}
+
 } // namespace kingcuploom::soak
--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "JobRecord.h"
+#include "StandingTaskCheck.h"
 #include "base/Clock.h"
 
 #include <atomic>
@@ -12,28 +14,14 @@
 
 namespace kingcuploom::soak {
 
-// A job that a caller submitted, and what the caller has observed of it.
-struct JobRecord {
-    std::string id;
-    std::string payload;
-    // Number of tasks per step. A step starts after the previous step is done.
-    std::vector<unsigned> counts;
-    bool isLongRunning = false;
-    // Each task fails at all attempts that the queue allows.
-    bool isExpectedToFail = false;
-
-    bool isAccepted = false;
-    // Every attempt to submit the job was refused.
-    bool isRefused = false;
-    bool isCancelSent = false;
-    bool isCancelled = false;
-    std::string lastState;
-};
-
 // Checks scheduling invariants during the soak, from the events that executors log and the responses that callers receive. Thread-safe.
 class InvariantChecker {
 public:
-    InvariantChecker(std::filesystem::path folder, int maxAttempts);
+    InvariantChecker(std::filesystem::path folder, int maxAttempts, unsigned executorCount);
+
+    // Records that a fault begins, and returns its index.
+    std::size_t recordFaultBegin();
+    void recordFaultEnd(std::size_t fault);
 
     void addJob(const JobRecord&);
     void recordAccepted(const std::string& id);
@@ -56,15 +44,9 @@
     std::vector<JobRecord> jobs() const;
     std::vector<std::string> violations() const;
     std::size_t startCount() const;
+    StandingTaskCheck::Restarts calmRestarts() const;
 
 private:
-    struct Event {
-        std::string executor;
-        std::string name;
-        std::string task;
-        std::int64_t run = 0;
-        std::string how;
-    };
     struct RunEnd {
         std::string executor;
         std::int64_t run = 0;
@@ -72,12 +54,12 @@
         bool hasLaterRun = false;
     };
 
-    void processEvent(const Event&);
-    void processStart(const Event&);
-    void processEnd(const Event&);
-    void processAcknowledgement(const Event&);
-    void processKilled(const std::string& executor);
-    void checkStepOrder(const Event&, const JobRecord&);
+    void processEvent(const RunEvent&);
+    void processStart(const RunEvent&);
+    void processEnd(const RunEvent&);
+    void processAcknowledgement(const RunEvent&);
+    void processKilled(const RunEvent&);
+    void checkStepOrder(const RunEvent&, const JobRecord&);
     void addViolation(const std::string&);
     std::vector<std::string> unmetExpectationsOfJob(const JobRecord&) const;
     std::size_t runningCount(const std::string& job) const;
@@ -85,10 +67,12 @@
     const std::filesystem::path m_folder;
     const int m_maxAttempts;
 
+    FaultLog m_faults;
     mutable std::mutex m_mutex;
+    StandingTaskCheck m_standingTasks;
     std::map<std::string, JobRecord> m_jobs;
     std::map<std::filesystem::path, std::uintmax_t> m_readOffsets;
-    std::multimap<std::int64_t, Event> m_events;
+    std::multimap<std::int64_t, RunEvent> m_events;
     std::map<std::string, std::int64_t> m_pausedAt;
     // Number of the current run, by task and executor.
     std::map<std::string, std::map<std::string, std::int64_t>> m_running;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,9 @@
 Exit codes: 0 no violation, 1 an invariant was broken or a process did not restart, 2 the processes could not be started.
 )";
 
+// A longer run has several times with faults, with a time without faults after each. The latter exceeds the 7 s of rule LOST.
+constexpr Milliseconds maxFaultTime { 12'000 };
+constexpr Milliseconds calmTime { 8500 };
 // Allows a lease expiry, a takeover and several polls after the last fault.
 constexpr Milliseconds settleTimeout { 30'000 };
 constexpr Milliseconds settlePollInterval { 300 };
@@ -48,13 +51,25 @@
     }
 }
 
+// Returns false if a process could not be started again.
+bool injectFaults(FaultInjector& faults, Milliseconds remaining)
+{
+    bool areAllRunning = true;
+    for (; remaining > Milliseconds(0); remaining -= maxFaultTime) {
+        faults.run(std::min(remaining, maxFaultTime));
+        areAllRunning = faults.finish();
+        faults.stayCalm(calmTime);
+    }
+    return areAllRunning;
+}
+
 int runSoak(const Arguments& arguments)
 {
     const auto seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
     const auto folder
         = std::filesystem::temp_directory_path() / ("kingcuploom-soak-" + std::to_string(seed) + '-' + std::to_string(getpid()));
     std::cout << "soak seed=" << seed << " logs=" << folder.string() << std::endl;
-    InvariantChecker checker(folder, Cluster::maxAttempts);
+    InvariantChecker checker(folder, Cluster::maxAttempts, getNumber(arguments, "--executors"));
     Cluster cluster(
         arguments.at("BINARIES").asString(), folder, { getNumber(arguments, "--daemons"), getNumber(arguments, "--executors") });
     if (!cluster.start()) {
@@ -63,8 +78,7 @@
     }
     FaultInjector faults(cluster, checker, seed);
     Callers callers(cluster, checker, getNumber(arguments, "--callers"), seed);
-    faults.run(std::chrono::seconds(getNumber(arguments, "--seconds")));
-    const bool areAllRunning = faults.finish();
+    const bool areAllRunning = injectFaults(faults, std::chrono::seconds(getNumber(arguments, "--seconds")));
     callers.stop();
     const auto unmet = waitUntilSettled(callers, checker);
     auto broken = checker.violations();
@@ -73,9 +87,12 @@
         cluster.unexpectedExits(), std::back_inserter(broken), [](const auto& name) { return name + " has ended unexpectedly"; });
     std::ranges::for_each(broken, [](const auto& it) { std::cout << "violation: " << it << '\n'; });
     const auto jobs = checker.jobs();
+    const auto restarts = checker.calmRestarts();
     const auto accepted = std::ranges::count_if(jobs, &JobRecord::isAccepted);
     std::cout << "soak seed=" << seed << " faults=" << faults.faultCount() << " jobs=" << jobs.size() << " accepted=" << accepted
-              << " starts=" << checker.startCount() << " all_up=" << areAllRunning << " violations=" << broken.size() << std::endl;
+              << " starts=" << checker.startCount() << " calm_restarts=" << restarts.count
+              << " longest_restart_ms=" << std::chrono::duration_cast<Milliseconds>(restarts.longest).count() << " all_up=" << areAllRunning
+              << " violations=" << broken.size() << std::endl;
     cluster.processes().killAll();
     const bool isPassed = broken.empty() && areAllRunning && accepted > 0;
     if (isPassed && !arguments.at("--keep").asBool())
