Soak: check events only once resumed executors have had time to write

The checker handled events as soon as a paused executor had been resumed. The ends of its runs, whose lease had expired during the pause, are written some milliseconds later, so that the next run of such a task could count as "two runs at the same time". The calm time after the faults reads events right after executors are resumed, which makes this more likely.

Events after the beginning of a pause now wait until 400 ms after its end, the time that the checker allows for a line to be written anyway. Nothing is left out: the events are checked later, in the same order. The new test failed before; a second one shows that two runs beside a pause are still reported.

--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -17,8 +17,6 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
     }
 
-    std::int64_t nowMicroseconds() { return toMicroseconds(std::chrono::steady_clock::now()); }
-
     // "ID.K.STEP.INDEX"
     struct TaskName {
         std::string job;
@@ -49,13 +47,16 @@
 
 } // namespace
 
-InvariantChecker::InvariantChecker(std::filesystem::path folder, int maxAttempts, unsigned executorCount)
-    : m_folder(std::move(folder))
+InvariantChecker::InvariantChecker(const Clock& clock, std::filesystem::path folder, int maxAttempts, unsigned executorCount)
+    : m_clock(clock)
+    , m_folder(std::move(folder))
     , m_maxAttempts(maxAttempts)
     , m_standingTasks(m_faults, executorCount)
 {
 }
 
+std::int64_t InvariantChecker::nowMicroseconds() const { return toMicroseconds(m_clock.now()); }
+
 void InvariantChecker::addViolation(const std::string& what) { m_violations.push_back(what); }
 
 void InvariantChecker::addJob(const JobRecord& job)
@@ -126,28 +127,37 @@
 void InvariantChecker::recordPaused(const std::string& executor)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt[executor] = nowMicroseconds();
+    // A pause that follows another one closely extends it.
+    m_pauses.try_emplace(executor, Pause { nowMicroseconds(), {} }).first->second.end.reset();
 }
 
 void InvariantChecker::recordResumed(const std::string& executor)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt.erase(executor);
+    if (const auto it = m_pauses.find(executor); it != m_pauses.end())
+        it->second.end = nowMicroseconds();
 }
 
 void InvariantChecker::recordKilled(const std::string& executor, MonotonicTime at)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt.erase(executor);
+    m_pauses.erase(executor);
     m_events.emplace(toMicroseconds(at), RunEvent { toMicroseconds(at), executor, "death", {}, 0, {} });
 }
 
+std::int64_t InvariantChecker::logsCompleteUpTo()
+{
+    auto upTo = nowMicroseconds() - maxWriteDelay.count();
+    // A paused process writes its latest events only after it resumes, so later events of the others must wait until then.
+    std::erase_if(m_pauses, [upTo](const auto& it) { return it.second.end && *it.second.end <= upTo; });
+    std::ranges::for_each(m_pauses, [&](const auto& it) { upTo = std::min(upTo, it.second.begin - maxWriteDelay.count()); });
+    return upTo;
+}
+
 void InvariantChecker::readEvents()
 {
     const std::scoped_lock lock(m_mutex);
-    // A paused process writes its latest events only after it resumes, so later events of the others must wait until then.
-    auto upTo = nowMicroseconds() - maxWriteDelay.count();
-    std::ranges::for_each(m_pausedAt, [&](const auto& it) { upTo = std::min(upTo, it.second - maxWriteDelay.count()); });
+    const auto upTo = logsCompleteUpTo();
     for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
         const auto name = file.path().filename().string();
         if (!name.starts_with("ex"))
--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -17,7 +17,7 @@
 // Checks scheduling invariants during the soak, from the events that executors log and the responses that callers receive. Thread-safe.
 class InvariantChecker {
 public:
-    InvariantChecker(std::filesystem::path folder, int maxAttempts, unsigned executorCount);
+    InvariantChecker(const Clock&, std::filesystem::path folder, int maxAttempts, unsigned executorCount);
 
     // Records that a fault begins, and returns its index.
     std::size_t recordFaultBegin();
@@ -47,6 +47,11 @@
     StandingTaskCheck::Restarts calmRestarts() const;
 
 private:
+    struct Pause {
+        std::int64_t begin = 0;
+        // Empty while the executor is paused.
+        std::optional<std::int64_t> end;
+    };
     struct RunEnd {
         std::string executor;
         std::int64_t run = 0;
@@ -64,6 +69,11 @@
     std::vector<std::string> unmetExpectationsOfJob(const JobRecord&) const;
     std::size_t runningCount(const std::string& job) const;
 
+    std::int64_t nowMicroseconds() const;
+    // Returns the time up to which the logs of all executors are complete.
+    std::int64_t logsCompleteUpTo();
+
+    const Clock& m_clock;
     const std::filesystem::path m_folder;
     const int m_maxAttempts;
 
@@ -73,7 +83,8 @@
     std::map<std::string, JobRecord> m_jobs;
     std::map<std::filesystem::path, std::uintmax_t> m_readOffsets;
     std::multimap<std::int64_t, RunEvent> m_events;
-    std::map<std::string, std::int64_t> m_pausedAt;
+    // Pauses of executors whose logs may lack events.
+    std::map<std::string, Pause> m_pauses;
     // Number of the current run, by task and executor.
     std::map<std::string, std::map<std::string, std::int64_t>> m_running;
     std::set<std::string> m_done;
--- /dev/null
+++ b/tests/soak/InvariantCheckerTests.cpp
@@ -0,0 +1,71 @@
+#include "InvariantChecker.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <unistd.h>
+
+using namespace kingcuploom;
+using namespace kingcuploom::soak;
+
+namespace {
+
+struct Fixture {
+    const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("kingcuploom-checker-tests-" + std::to_string(getpid()));
+    ManualClock clock;
+    InvariantChecker checker { clock, folder, 3, 2 };
+
+    Fixture()
+    {
+        std::filesystem::create_directories(folder);
+        checker.addJob({ "a", "work_ms=100", { 1 } });
+    }
+    ~Fixture() { std::filesystem::remove_all(folder); }
+
+    void log(const std::string& executor, const std::string& event, int run, const std::string& how, MonotonicTime at) const
+    {
+        std::ofstream out(folder / (executor + ".1.log"), std::ios::app);
+        out << "event=" << event << " at=" << std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count()
+            << " task=a.0.0.0 run=" << run << " fence=1 how=" << how << '\n';
+    }
+
+    // ex0 runs the task and is paused; its lease expires while it is paused, and ex1 starts the next run 1 s after that. Returns the time
+    // of the expiry, of which ex0 writes nothing before it resumes.
+    MonotonicTime pauseUntilNextRunStarts()
+    {
+        log("ex0", "start", 1, "work_ms=100", clock.now());
+        clock.advance(Milliseconds(1000));
+        checker.recordPaused("ex0");
+        clock.advance(Milliseconds(4000));
+        const auto expiry = clock.now();
+        clock.advance(Milliseconds(1000));
+        log("ex1", "start", 2, "work_ms=100", clock.now());
+        clock.advance(Milliseconds(1000));
+        return expiry;
+    }
+};
+
+} // namespace
+
+// Guards against a false "two runs at the same time": events were checked as soon as an executor had been resumed, before it could write
+// that its runs had ended during the pause.
+TEST_CASE_METHOD(Fixture, "Events are checked only after a resumed executor has had time to write the ends of its runs")
+{
+    const auto expiry = pauseUntilNextRunStarts();
+    checker.recordResumed("ex0");
+    checker.readEvents();
+    CHECK(checker.violations().empty());
+    log("ex0", "end", 1, "lapsed", expiry);
+    clock.advance(Milliseconds(500));
+    checker.readEvents();
+    CHECK(checker.violations().empty());
+    CHECK(checker.startCount() == 2);
+}
+
+TEST_CASE_METHOD(Fixture, "Two runs at the same time are reported, also if the first executor was paused")
+{
+    pauseUntilNextRunStarts();
+    checker.recordResumed("ex0");
+    clock.advance(Milliseconds(500));
+    checker.readEvents();
+    CHECK(checker.violations().size() == 1);
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -69,7 +69,8 @@
     const auto folder
         = std::filesystem::temp_directory_path() / ("kingcuploom-soak-" + std::to_string(seed) + '-' + std::to_string(getpid()));
     std::cout << "soak seed=" << seed << " logs=" << folder.string() << std::endl;
-    InvariantChecker checker(folder, Cluster::maxAttempts, getNumber(arguments, "--executors"));
+    const SystemClock clock;
+    InvariantChecker checker(clock, folder, Cluster::maxAttempts, getNumber(arguments, "--executors"));
     Cluster cluster(
         arguments.at("BINARIES").asString(), folder, { getNumber(arguments, "--daemons"), getNumber(arguments, "--executors") });
     if (!cluster.start()) {
