--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -17,8 +17,6 @@
         return std::chrono::duration_cast<std::chrono::microseconds>(time.time_since_epoch()).count();
     }
 
-    std::int64_t nowMicroseconds() { return toMicroseconds(std::chrono::steady_clock::now()); }
-
     // "ID.K.STEP.INDEX"
     struct TaskName {
         std::string job;
@@ -37,11 +35,6 @@
         return task;
     }
 
-    std::string taskName(const std::string& job, std::size_t step, unsigned index)
-    {
-        return job + ".0." + std::to_string(step) + '.' + std::to_string(index);
-    }
-
     std::string getField(const std::string& line, const std::string& name)
     {
         const auto at = line.find(' ' + name + '=');
@@ -54,12 +47,16 @@
 
 } // namespace
 
-InvariantChecker::InvariantChecker(std::filesystem::path folder, int maxAttempts)
-    : m_folder(std::move(folder))
+InvariantChecker::InvariantChecker(const Clock& clock, std::filesystem::path folder, int maxAttempts, unsigned executorCount)
+    : m_clock(clock)
+    , m_folder(std::move(folder))
     , m_maxAttempts(maxAttempts)
+    , m_standingTasks(m_faults, executorCount)
 {
 }
 
+std::int64_t InvariantChecker::nowMicroseconds() const { return toMicroseconds(m_clock.now()); }
+
 void InvariantChecker::addViolation(const std::string& what) { m_violations.push_back(what); }
 
 void InvariantChecker::addJob(const JobRecord& job)
@@ -71,7 +68,9 @@
 void InvariantChecker::recordAccepted(const std::string& id)
 {
     const std::scoped_lock lock(m_mutex);
-    m_jobs.at(id).isAccepted = true;
+    auto& job = m_jobs.at(id);
+    job.isAccepted = true;
+    job.acceptedAt = nowMicroseconds();
 }
 
 void InvariantChecker::recordRefused(const std::string& id)
@@ -113,31 +112,52 @@
         addViolation("accepted job is not known to a daemon: " + id);
 }
 
+std::size_t InvariantChecker::recordFaultBegin()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_faults.begin(nowMicroseconds());
+}
+
+void InvariantChecker::recordFaultEnd(std::size_t fault)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_faults.end(fault, nowMicroseconds());
+}
+
 void InvariantChecker::recordPaused(const std::string& executor)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt[executor] = nowMicroseconds();
+    // A pause that follows another one closely extends it.
+    m_pauses.try_emplace(executor, Pause { nowMicroseconds(), {} }).first->second.end.reset();
 }
 
 void InvariantChecker::recordResumed(const std::string& executor)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt.erase(executor);
+    if (const auto it = m_pauses.find(executor); it != m_pauses.end())
+        it->second.end = nowMicroseconds();
 }
 
 void InvariantChecker::recordKilled(const std::string& executor, MonotonicTime at)
 {
     const std::scoped_lock lock(m_mutex);
-    m_pausedAt.erase(executor);
-    m_events.emplace(toMicroseconds(at), Event { executor, "death", {}, 0, {} });
+    m_pauses.erase(executor);
+    m_events.emplace(toMicroseconds(at), RunEvent { toMicroseconds(at), executor, "death", {}, 0, {} });
+}
+
+std::int64_t InvariantChecker::logsCompleteUpTo()
+{
+    auto upTo = nowMicroseconds() - maxWriteDelay.count();
+    // A paused process writes its latest events only after it resumes, so later events of the others must wait until then.
+    std::erase_if(m_pauses, [upTo](const auto& it) { return it.second.end && *it.second.end <= upTo; });
+    std::ranges::for_each(m_pauses, [&](const auto& it) { upTo = std::min(upTo, it.second.begin - maxWriteDelay.count()); });
+    return upTo;
 }
 
 void InvariantChecker::readEvents()
 {
     const std::scoped_lock lock(m_mutex);
-    // A paused process writes its latest events only after it resumes, so later events of the others must wait until then.
-    auto upTo = nowMicroseconds() - maxWriteDelay.count();
-    std::ranges::for_each(m_pausedAt, [&](const auto& it) { upTo = std::min(upTo, it.second - maxWriteDelay.count()); });
+    const auto upTo = logsCompleteUpTo();
     for (const auto& file : std::filesystem::directory_iterator(m_folder)) {
         const auto name = file.path().filename().string();
         if (!name.starts_with("ex"))
@@ -150,18 +170,22 @@
             if (!line.starts_with("event="))
                 continue;
             const auto event = line.substr(6, line.find(' ') - 6);
-            m_events.emplace(std::strtoll(getField(line, "at").c_str(), nullptr, 10),
-                Event { name.substr(0, name.find('.')), event, getField(line, "task"),
+            const auto at = std::strtoll(getField(line, "at").c_str(), nullptr, 10);
+            m_events.emplace(at,
+                RunEvent { at, name.substr(0, name.find('.')), event, getField(line, "task"),
                     std::strtoll(getField(line, "run").c_str(), nullptr, 10), getField(line, "how") });
         }
     }
     while (!m_events.empty() && m_events.begin()->first <= upTo) {
-        processEvent(m_events.begin()->second);
+        const auto& event = m_events.begin()->second;
+        m_standingTasks.checkUpTo(event.at, m_jobs);
+        processEvent(event);
         m_events.erase(m_events.begin());
     }
+    m_standingTasks.checkUpTo(upTo, m_jobs);
 }
 
-void InvariantChecker::processEvent(const Event& event)
+void InvariantChecker::processEvent(const RunEvent& event)
 {
     if (event.name == "start")
         processStart(event);
@@ -170,10 +194,10 @@
     else if (event.name == "noted")
         processAcknowledgement(event);
     else if (event.name == "death")
-        processKilled(event.executor);
+        processKilled(event);
 }
 
-void InvariantChecker::checkStepOrder(const Event& event, const JobRecord& job)
+void InvariantChecker::checkStepOrder(const RunEvent& event, const JobRecord& job)
 {
     const auto step = parseTaskName(event.task).step;
     for (unsigned index = 0; step > 0 && index < job.counts[step - 1]; ++index) {
@@ -182,7 +206,7 @@
     }
 }
 
-void InvariantChecker::processStart(const Event& event)
+void InvariantChecker::processStart(const RunEvent& event)
 {
     ++m_startCount;
     const auto label = event.task + '/' + std::to_string(event.run) + " on " + event.executor;
@@ -190,6 +214,7 @@
     if (it == m_jobs.end())
         return addViolation("started a task that was not submitted: " + label);
     const auto& job = it->second;
+    m_standingTasks.recordStart(event, job.isLongRunning);
     if (event.how != job.payload)
         addViolation("started with a different payload: " + label);
     if (job.isRefused)
@@ -206,16 +231,17 @@
     checkStepOrder(event, job);
 }
 
-void InvariantChecker::processEnd(const Event& event)
+void InvariantChecker::processEnd(const RunEvent& event)
 {
     m_running[event.task].erase(event.executor);
+    m_standingTasks.recordEnd(event);
     if (event.how != "done")
         return;
     m_done.insert(event.task);
     m_lastDoneEnds[event.task] = { event.executor, event.run, false };
 }
 
-void InvariantChecker::processAcknowledgement(const Event& event)
+void InvariantChecker::processAcknowledgement(const RunEvent& event)
 {
     if (event.how == "failed")
         ++m_acknowledgedFailures[event.task];
@@ -227,10 +253,11 @@
         addViolation("started again after an end that was acknowledged later: " + event.task);
 }
 
-void InvariantChecker::processKilled(const std::string& executor)
+void InvariantChecker::processKilled(const RunEvent& event)
 {
+    m_standingTasks.recordDeath(event);
     for (auto& [task, running] : m_running)
-        running.erase(executor);
+        running.erase(event.executor);
 }
 
 std::size_t InvariantChecker::runningCount(const std::string& job) const
@@ -286,7 +313,9 @@
 std::vector<std::string> InvariantChecker::violations() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_violations;
+    auto all = m_violations;
+    all.insert(all.end(), m_standingTasks.violations().begin(), m_standingTasks.violations().end());
+    return all;
 }
 
 std::size_t InvariantChecker::startCount() const
@@ -295,4 +324,10 @@
     return m_startCount;
 }
 
+StandingTaskCheck::Restarts InvariantChecker::calmRestarts() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_standingTasks.calmRestarts();
+}
+
 } // namespace kingcuploom::soak
