Withhold a start that could not be sent before its view became too old

Cause, as the code shows it: the age of the view was checked when the start was handed to the HTTP client.

Evidence: with the limit handed over but not checked, the new tests of the client failed: calls with a send limit of 100 ms were sent and answered on a loop that was blocked for 300 ms, while connecting and while waiting for a connection.

Fix: a call may have a limit until its sending begins. It is checked in the statement before the write, also after a late connect, and for waiting calls. The coordinator sets it to the time that is left until the older of its views reaches its limit.

--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kingcuploom::http {
@@ -14,6 +15,8 @@
 enum class AsyncCallError {
     // No byte of the request was sent.
     NotSent,
+    // No byte of the request was sent within the call's maxSendDelay.
+    NotSentInTime,
     // The request may have been executed, or may be executed later.
     NoAnswer,
 };
@@ -28,6 +31,8 @@
     Headers headers;
     std::string body;
     Milliseconds timeout { 1000 };
+    // Writing of the request must begin within this time, which includes waiting for a connection. Empty: no limit but the timeout.
+    std::optional<Milliseconds> maxSendDelay;
     // A call whose earlier try had no answer; it gets a new connection.
     bool isRepeat = false;
 };
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -56,6 +56,11 @@
         return request;
     }
 
+    SteadyTime sendDeadlineOf(const AsyncCall& call, SteadyTime now)
+    {
+        return call.maxSendDelay ? now + *call.maxSendDelay : SteadyTime::max();
+    }
+
     Response responseOf(BeastParser& parser)
     {
         auto message = parser.release();
@@ -69,7 +74,18 @@
 
 } // namespace
 
-const char* toString(AsyncCallError error) { return error == AsyncCallError::NotSent ? "not_sent" : "no_answer"; }
+const char* toString(AsyncCallError error)
+{
+    switch (error) {
+    case AsyncCallError::NotSent:
+        return "not_sent";
+    case AsyncCallError::NotSentInTime:
+        return "not_sent_in_time";
+    case AsyncCallError::NoAnswer:
+        break;
+    }
+    return "no_answer";
+}
 
 struct Connection;
 
@@ -79,6 +95,7 @@
         AsyncCall call;
         AsyncCallback callback;
         SteadyTime deadline;
+        SteadyTime sendDeadline;
     };
 
     // Connections to one address.
@@ -130,6 +147,10 @@
     void connect();
     void send();
     void receive();
+    bool isLate(SteadyTime now) const;
+    bool isTooLateToSend(SteadyTime now) const { return !isSending && sendDeadline <= now; }
+    // The error of a call that is ended at this time.
+    AsyncCallError errorAt(SteadyTime now) const;
     void finish(Expected<Response, AsyncCallError>, bool isReusable);
 
     std::weak_ptr<AsyncHttpClient::State> owner;
@@ -142,6 +163,7 @@
     std::optional<BeastParser> parser;
     AsyncCallback callback;
     SteadyTime deadline;
+    SteadyTime sendDeadline;
     SteadyTime idleSince;
     SteadyTime connectDeadline;
     // Past its deadline at the last sweep.
@@ -153,6 +175,7 @@
     const auto now = std::chrono::steady_clock::now();
     callback = std::move(done);
     deadline = now + call.timeout;
+    sendDeadline = sendDeadlineOf(call, now);
     request = requestOf(call);
     isSending = false;
     isOverdue = false;
@@ -189,6 +212,14 @@
 
 void Connection::send()
 {
+    // Checked here as well as in the sweep, because a late loop can run this handler before the sweep that is due.
+    if (isTooLateToSend(std::chrono::steady_clock::now())) {
+        asio::post(socket.get_executor(), [self = shared_from_this()] {
+            if (self->callback)
+                self->finish(makeUnexpected(AsyncCallError::NotSentInTime), true);
+        });
+        return;
+    }
     isSending = true;
     beast::http::async_write(socket, request, [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
         if (!self->callback)
@@ -214,6 +245,15 @@
     });
 }
 
+bool Connection::isLate(SteadyTime now) const { return deadline <= now || (!isConnected && connectDeadline <= now); }
+
+AsyncCallError Connection::errorAt(SteadyTime now) const
+{
+    if (isSending)
+        return AsyncCallError::NoAnswer;
+    return isTooLateToSend(now) ? AsyncCallError::NotSentInTime : AsyncCallError::NotSent;
+}
+
 void Connection::finish(Expected<Response, AsyncCallError> result, bool isReusable)
 {
     const auto done = std::exchange(callback, nullptr);
@@ -229,8 +269,10 @@
     if (peer.busyCount < limits.maxConnections) {
         start(peer, call, std::move(callback));
     } else {
-        const auto deadline = std::chrono::steady_clock::now() + call.timeout;
-        peer.waiting.push_back({ std::move(call), std::move(callback), deadline });
+        const auto now = std::chrono::steady_clock::now();
+        const auto deadline = now + call.timeout;
+        const auto sendDeadline = sendDeadlineOf(call, now);
+        peer.waiting.push_back({ std::move(call), std::move(callback), deadline, sendDeadline });
         ++waitingCount;
     }
     armSweep();
@@ -296,8 +338,10 @@
         auto next = std::move(peer.waiting.front());
         peer.waiting.pop_front();
         --waitingCount;
-        const auto left = std::chrono::duration_cast<Milliseconds>(next.deadline - std::chrono::steady_clock::now());
-        next.call.timeout = std::max(left, Milliseconds(1));
+        const auto now = std::chrono::steady_clock::now();
+        next.call.timeout = std::max(std::chrono::duration_cast<Milliseconds>(next.deadline - now), Milliseconds(1));
+        if (next.call.maxSendDelay)
+            next.call.maxSendDelay = std::chrono::duration_cast<Milliseconds>(next.sendDeadline - now);
         start(peer, next.call, std::move(next.callback));
     }
 }
@@ -325,30 +369,29 @@
     // A call ends only in the second sweep after its deadline, once the loop has read the sockets in between: when the loop itself is late,
     // the response may have arrived in time.
     std::ranges::copy_if(busy, std::back_inserter(late), [&](const auto& it) {
-        const bool isLate = it->deadline <= now || (!it->isConnected && it->connectDeadline <= now);
-        return std::exchange(it->isOverdue, isLate) && isLate;
+        const bool isLate = it->isLate(now);
+        return it->isTooLateToSend(now) || (std::exchange(it->isOverdue, isLate) && isLate);
     });
-    for (const auto& connection : late) {
-        const auto error = connection->isSending ? AsyncCallError::NoAnswer : AsyncCallError::NotSent;
-        connection->finish(makeUnexpected(error), false);
-    }
+    for (const auto& connection : late)
+        connection->finish(makeUnexpected(connection->errorAt(now)), false);
     if (waitingCount > 0)
         dropLateWaiting(now);
 }
 
 void AsyncHttpClient::State::dropLateWaiting(SteadyTime now)
 {
-    std::vector<AsyncCallback> late;
+    std::vector<std::pair<AsyncCallback, AsyncCallError>> late;
     for (auto& [address, peer] : peers) {
         std::erase_if(peer.waiting, [&](WaitingCall& it) {
-            if (it.deadline > now)
+            if (it.deadline > now && it.sendDeadline > now)
                 return false;
-            late.push_back(std::move(it.callback));
+            const auto error = it.sendDeadline <= now ? AsyncCallError::NotSentInTime : AsyncCallError::NotSent;
+            late.emplace_back(std::move(it.callback), error);
             return true;
         });
     }
     waitingCount -= late.size();
-    std::ranges::for_each(late, [](const auto& callback) { callback(makeUnexpected(AsyncCallError::NotSent)); });
+    std::ranges::for_each(late, [](const auto& it) { it.first(makeUnexpected(it.second)); });
 }
 
 AsyncHttpClient::AsyncHttpClient(asio::io_context& loop, AsyncClientLimits limits)
--- a/libs/http/tests/AsyncHttpClientTests.cpp
+++ b/libs/http/tests/AsyncHttpClientTests.cpp
@@ -1,6 +1,7 @@
 #include "ScriptedServer.h"
 #include "http/AsyncHttpClient.h"
 
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
@@ -18,26 +19,56 @@
 constexpr Milliseconds loopDelay { 300 };
 constexpr Milliseconds testTimeout { 5000 };
 
-// Calls the server and runs the loop until the call has ended. Once the call is under way, the loop is blocked for the given time, as by
-// work that takes longer than the timeout of the call.
-CallResult callWithDelayedLoop(const std::string& url, Milliseconds delay)
+AsyncCall makeCall(const std::string& url, Milliseconds timeout)
 {
-    boost::asio::io_context loop { 1 };
-    AsyncHttpClient client(loop);
-    std::optional<CallResult> result;
     AsyncCall call;
     call.address = Address(url.substr(std::string("http://").size()));
     call.target = "/";
-    call.timeout = callTimeout;
-    client.call(call, [&](const CallResult& it) { result = it; });
-    boost::asio::post(loop, [delay] { std::this_thread::sleep_for(delay); });
+    call.timeout = timeout;
+    return call;
+}
+
+// Runs the loop until the call has ended.
+CallResult await(boost::asio::io_context& loop, const std::optional<CallResult>& result)
+{
     const auto end = std::chrono::steady_clock::now() + testTimeout;
-    while (!result && std::chrono::steady_clock::now() < end)
+    while (!result && std::chrono::steady_clock::now() < end) {
+        loop.restart();
         loop.run_one_for(Milliseconds(10));
+    }
     REQUIRE(result);
     return *result;
 }
 
+// Runs the loop until the call has ended. Once the call is under way, the loop is blocked for the given time, as by work that takes longer
+// than the limits of the call.
+CallResult callWithDelayedLoop(const AsyncCall& call, Milliseconds delay)
+{
+    boost::asio::io_context loop { 1 };
+    AsyncHttpClient client(loop);
+    std::optional<CallResult> result;
+    client.call(call, [&](const CallResult& it) { result = it; });
+    boost::asio::post(loop, [delay] { std::this_thread::sleep_for(delay); });
+    return await(loop, result);
+}
+
+// Answers each request on each connection after the delay, and counts the requests.
+struct CountingServer {
+    explicit CountingServer(Milliseconds delay)
+        : server([this, delay](auto& socket, int) {
+            while (!ScriptedServer::readRequest(socket, 0).empty()) {
+                ++requests;
+                std::this_thread::sleep_for(delay);
+                ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            }
+        })
+    {
+    }
+
+    std::atomic<int> requests = 0;
+    ScriptedServer server;
+};
+
 } // namespace
 
 TEST_CASE("a call whose answer arrives while the loop is late is answered")
@@ -48,7 +79,7 @@
         ScriptedServer::readRequest(socket, 0);
         ScriptedServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
     });
-    const auto result = callWithDelayedLoop(server.url(), loopDelay);
+    const auto result = callWithDelayedLoop(makeCall(server.url(), callTimeout), loopDelay);
     REQUIRE(result.has_value());
     CHECK(result->status == 200);
 }
@@ -56,7 +87,55 @@
 TEST_CASE("a call without an answer ends after its timeout")
 {
     ScriptedServer server([](auto& socket, int) { ScriptedServer::readRequest(socket, 1); });
-    const auto result = callWithDelayedLoop(server.url(), Milliseconds(0));
+    const auto result = callWithDelayedLoop(makeCall(server.url(), callTimeout), Milliseconds(0));
     REQUIRE_FALSE(result.has_value());
     CHECK(result.error() == AsyncCallError::NoAnswer);
 }
+
+TEST_CASE("a call whose connection is up only after its send limit is not sent")
+{
+    // Guards against sending a start that was permitted by a view which has become too old while the loop was late (rule DRAIN).
+    CountingServer peer(Milliseconds(0));
+    auto call = makeCall(peer.server.url(), testTimeout);
+    call.maxSendDelay = callTimeout;
+    const auto result = callWithDelayedLoop(call, loopDelay);
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error() == AsyncCallError::NotSentInTime);
+    CHECK(peer.requests == 0);
+}
+
+TEST_CASE("a call that waits for a connection beyond its send limit is not sent")
+{
+    // The same for a start that waits behind the other calls to its worker.
+    const bool isLoopLate = GENERATE(false, true);
+    CountingServer peer(loopDelay);
+    boost::asio::io_context loop { 1 };
+    AsyncClientLimits limits;
+    limits.maxConnections = 1;
+    AsyncHttpClient client(loop, limits);
+    std::optional<CallResult> first;
+    std::optional<CallResult> second;
+    auto call = makeCall(peer.server.url(), testTimeout);
+    client.call(call, [&](const CallResult& it) { first = it; });
+    call.maxSendDelay = callTimeout;
+    client.call(call, [&](const CallResult& it) { second = it; });
+    while (peer.requests == 0)
+        loop.run_one_for(Milliseconds(10));
+    if (isLoopLate)
+        boost::asio::post(loop, [] { std::this_thread::sleep_for(loopDelay * 2); });
+    const auto result = await(loop, second);
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error() == AsyncCallError::NotSentInTime);
+    CHECK(await(loop, first).has_value());
+    CHECK(peer.requests == 1);
+}
+
+TEST_CASE("a call that was sent within its send limit may be answered after it")
+{
+    CountingServer peer(loopDelay);
+    auto call = makeCall(peer.server.url(), testTimeout);
+    call.maxSendDelay = callTimeout;
+    const auto result = callWithDelayedLoop(call, Milliseconds(0));
+    REQUIRE(result.has_value());
+    CHECK(result->status == 200);
+}
--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -75,6 +75,8 @@
     bool mayExtendLeases() const;
     // True if the views of draining workers and of closed failure domains are recent enough to start tasks.
     bool isViewFresh() const;
+    // Time until the older of these views reaches its limit, in whole milliseconds; zero or negative if a view is too old.
+    Milliseconds viewTimeLeft() const;
     std::int64_t wallMs() const;
 
     boost::asio::io_context& m_loop;
--- a/libs/node/include/node/WorkerCalls.h
+++ b/libs/node/include/node/WorkerCalls.h
@@ -23,6 +23,8 @@
     std::int64_t leaseUntilMs = 0;
     Revision fence;
     bool isRepeat = false;
+    // A start whose sending has not begun within this time is withheld as StartResult::StaleView.
+    std::optional<Milliseconds> maxSendDelay;
 };
 
 struct PollMessage {
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -293,11 +293,13 @@
 
 // Without this check, a daemon that is short of CPU time or whose watch is stalled would start tasks on workers that have since announced
 // that they are draining.
-bool Coordinator::isViewFresh() const
+bool Coordinator::isViewFresh() const { return viewTimeLeft() > Milliseconds(0); }
+
+Milliseconds Coordinator::viewTimeLeft() const
 {
-    const auto now = m_clock.now();
-    return now - m_workersCurrentAt < m_state.parameters.workerViewLimit
-        && now - m_operators.snapshot()->confirmedAt < m_state.parameters.operatorViewLimit;
+    const auto staleAt = std::min(m_workersCurrentAt + m_state.parameters.workerViewLimit,
+        m_operators.snapshot()->confirmedAt + m_state.parameters.operatorViewLimit);
+    return std::chrono::duration_cast<Milliseconds>(staleAt - m_clock.now());
 }
 
 std::int64_t Coordinator::wallMs() const { return std::chrono::duration_cast<Milliseconds>(m_clock.wallNow().time_since_epoch()).count(); }
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -57,7 +57,7 @@
         return;
     }
     StartMessage message { order.run, job->spec->payload, task->checkpoint, permit ? permit->ticket : std::string(), *leaseUntil,
-        m_state.term, order.isRepeat };
+        m_state.term, order.isRepeat, viewTimeLeft() };
     m_calls.start({ worker->id, worker->address }, message, onResult);
 }
 
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -4,6 +4,7 @@
 #include "node/Coordinator.h"
 #include "node/JobService.h"
 #include "node/Leadership.h"
+#include "node/NodeMetrics.h"
 #include "node/OperatorView.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -80,9 +81,56 @@
         configuration.version = std::stoll(value);
         return OperatorDocument(configuration);
     };
+    formats.workerPrefix = "worker/";
+    formats.parseWorkerId = [](const std::string& key) { return scheduler::WorkerId(key); };
+    formats.decodeWorker = [](const std::string& key, const std::string&) -> Expected<scheduler::WorkerEntry, FormatError> {
+        scheduler::WorkerEntry entry;
+        entry.id = scheduler::WorkerId(key);
+        entry.born = scheduler::IncarnationTime(1);
+        entry.service = ServiceName("service");
+        entry.address = Address("10.0.0.1:1");
+        entry.capacity = { 1000, 1000, 0 };
+        return entry;
+    };
     return formats;
 }
 
+// Workers that answer polls at once and confirm each start; keeps the start messages.
+class FakeWorkerCalls final : public WorkerCalls {
+public:
+    explicit FakeWorkerCalls(boost::asio::io_context& loop)
+        : m_loop(loop)
+    {
+    }
+
+    std::vector<StartMessage> starts;
+
+    void start(const WorkerTarget&, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
+    {
+        starts.push_back(message);
+        boost::asio::post(m_loop, [callback] { callback(scheduler::StartResult::Started); });
+    }
+
+    void stop(const WorkerTarget&, const scheduler::RunRef&, Revision, std::function<void(scheduler::StopResult)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(scheduler::StopResult::Accepted); });
+    }
+
+    void poll(const WorkerTarget&, const PollMessage&,
+        std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(scheduler::PollReport { scheduler::IncarnationTime(1), 1, {}, {} }); });
+    }
+
+    void pace(const WorkerTarget&, const scheduler::RunRef&, int, Revision, std::function<void(bool)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(true); });
+    }
+
+private:
+    boost::asio::io_context& m_loop;
+};
+
 } // namespace
 
 TEST_CASE("A submission whose response was lost is retried and stored once")
@@ -208,6 +256,51 @@
     CHECK(leader.term == term);
 }
 
+TEST_CASE("A start is handed over with the time that is left until the older view reaches its limit")
+{
+    // Guards against starts that are sent after their view has become too old, on a connection that came up late (rules DRAIN, EVAC).
+    const Milliseconds workerViewLimit(GENERATE(900, 1300));
+    const Milliseconds operatorViewLimit(GENERATE(800, 3500));
+    constexpr Milliseconds maxViewAge { 200 };
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    FakeWorkerCalls calls(loop);
+    ManualClock clock;
+    NodeMetrics metrics;
+    const auto formats = makeFormats();
+    store.put("op/config", "1");
+    store.put("worker/1", "");
+    auto spec = makeSpec("a");
+    spec.policy->service = "service";
+    spec.steps.push_back(std::make_unique<schema::StepSpecT>());
+    store.put(jobKey(scheduler::GraphJobId("a")), encodeJob(spec));
+    OperatorView operators(loop, store, clock, formats, [] {});
+    std::optional<Revision> term;
+    Leadership leadership(loop, store, clock, { "node", 1, 0.5, 1 }, { [&](Revision it) { term = it; }, [] {} });
+    const auto isReachedAfter = [&](const std::function<bool()>& condition) {
+        return runUntil(loop, [&] {
+            clock.advance(Milliseconds(2));
+            return condition();
+        });
+    };
+    operators.start();
+    leadership.start();
+    REQUIRE(isReachedAfter([&] { return term && operators.snapshot()->configuration; }));
+    scheduler::Parameters parameters;
+    parameters.workerViewLimit = workerViewLimit;
+    parameters.operatorViewLimit = operatorViewLimit;
+    const PlatformServices services { store, calls, nullptr, nullptr, clock, metrics };
+    const auto coordinator = std::make_shared<Coordinator>(loop, services, formats, operators, leadership, parameters, *term);
+    coordinator->start();
+    REQUIRE(isReachedAfter([&] { return !calls.starts.empty(); }));
+    const auto limit = std::min(workerViewLimit, operatorViewLimit);
+    REQUIRE(calls.starts[0].maxSendDelay);
+    CHECK(*calls.starts[0].maxSendDelay <= limit);
+    CHECK(*calls.starts[0].maxSendDelay > limit - maxViewAge);
+    coordinator->stop();
+    operators.stop();
+}
+
 TEST_CASE("The configuration never reverts to an older version, and closed domains stay correct after the watch history is lost")
 {
     boost::asio::io_context loop { 1 };
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -69,7 +69,7 @@
     Refused,
     // No connection to the worker could be used.
     NotSent,
-    // Withheld by the scheduler because its view of draining workers and closed domains was stale.
+    // Withheld because the view of draining workers and closed domains was stale, or became so before the order could be sent.
     StaleView,
     // Withheld: the worker has been unlisted, drains, or its domain was closed after the placement.
     WorkerLeaving,
