Wait the usual delay at each vacancy of the leadership, also after a failed attempt or a restart

Cause: the time of the next campaign stayed set from an earlier attempt if that attempt failed after the event of the new holder had arrived. At the next vacancy this time had passed, so the node campaigned at once, without the delay by which nodes with a larger share of a core go first. A restarted node also replaced its earlier process at once, whatever its share.

Evidence: both new tests failed before, three times of three: the node with a share of 0.069 led instead of the one with 0.5. With the fix all node tests passed ten times of ten.

Fix: each event of the holder key, of a holder or of a vacancy, discards the time, and the campaign delay is added to the delay after a failure. A node with less than half a core removes the key of its earlier process, on condition of its revision, and campaigns with its delay; larger ones still take over at once. The removal costs a small node one commit and its delay of at most 0.46 s; without it, larger nodes would wait for the lease, up to 2 s.

--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -48,6 +48,8 @@
     void tick();
     void campaignIfVacant();
     void campaign();
+    void retryLater();
+    void removeEarlierHolder();
     void claim(LeaseId);
     void onClaimed(LeaseId, MonotonicTime sentAt, const Expected<Revision, TransactionFailure>&);
     void becomeLeader(Revision term, LeaseId, MonotonicTime sentAt);
--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -21,7 +21,10 @@
     constexpr Milliseconds campaignJitter { 60 };
     // Maximum extra campaign delay of nodes with a small CPU share.
     constexpr Milliseconds maxLowCpuDelay { 400 };
-    // Delay after a failed attempt. A leader whose holder key expired during a store outage restores it before candidates retry.
+    // Share of a core from which on a node campaigns without the extra delay.
+    constexpr double fullShare = 0.5;
+    // Delay after a failed attempt, added to the campaign delay. A leader whose holder key expired during a store outage restores it before
+    // candidates retry.
     constexpr Milliseconds retryDelay { 300 };
 
 } // namespace
@@ -87,8 +90,8 @@
     const auto record = value ? decodeRecord<schema::LeaderRecord>(*value) : nullptr;
     m_holderNode = record ? record->node : std::string();
     m_holderIncarnation = record ? record->incarnation : 0;
-    if (value)
-        m_campaignAt.reset();
+    // A time from an earlier vacancy would let this node campaign before nodes with a larger share.
+    m_campaignAt.reset();
     logEvent(LogLevel::Info, "leader_seen", { { "holder", m_holderNode.empty() ? "none" : m_holderNode }, { "revision", revision } });
 }
 
@@ -107,7 +110,7 @@
 
 Milliseconds Leadership::computeCampaignDelay()
 {
-    const auto share = std::clamp(m_settings.processorShare, 0.0, 0.5) * 2;
+    const auto share = std::clamp(m_settings.processorShare / fullShare, 0.0, 1.0);
     const auto cpuDelay = std::chrono::duration_cast<Milliseconds>(maxLowCpuDelay * (1 - share));
     return cpuDelay + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, campaignJitter.count())(m_random));
 }
@@ -144,18 +147,43 @@
     const auto now = m_clock.now();
     if (!m_campaignAt)
         m_campaignAt = isEarlierProcess ? now : now + computeCampaignDelay();
-    if (now >= *m_campaignAt)
+    if (now < *m_campaignAt)
+        return;
+    if (isEarlierProcess && m_settings.processorShare < fullShare)
+        removeEarlierHolder();
+    else
         campaign();
 }
 
+void Leadership::retryLater()
+{
+    m_isCampaigning = false;
+    m_campaignAt = m_clock.now() + retryDelay + computeCampaignDelay();
+}
+
+// A node with a small share makes the key of its earlier process vacant instead of replacing it, so that larger nodes can go first.
+void Leadership::removeEarlierHolder()
+{
+    m_isCampaigning = true;
+    Transaction transaction;
+    transaction.conditions = { { holderKey, *m_holderRevision } };
+    transaction.removals = { holderKey };
+    m_store.commit(transaction, [this, removed = *m_holderRevision](const Expected<Revision, TransactionFailure>& result) {
+        if (!result)
+            return retryLater();
+        m_isCampaigning = false;
+        if (m_holderRevision == removed)
+            onKeyChange(holderKey, std::nullopt, *result);
+    });
+}
+
 void Leadership::campaign()
 {
     m_isCampaigning = true;
     m_store.grantLease(leaseTtl, [this](const Expected<LeaseId, StoreError>& lease) {
         if (lease)
             return claim(*lease);
-        m_isCampaigning = false;
-        m_campaignAt = m_clock.now() + retryDelay;
+        retryLater();
     });
 }
 
@@ -177,14 +205,12 @@
 
 void Leadership::onClaimed(LeaseId lease, MonotonicTime sentAt, const Expected<Revision, TransactionFailure>& result)
 {
+    // A claim without a response may have taken effect; the watch then reports this process as the holder. If it did not, the unused
+    // lease expires.
+    if (!result)
+        return retryLater();
     m_isCampaigning = false;
     m_campaignAt.reset();
-    if (!result) {
-        // A claim without a response may have taken effect; the watch then reports this process as the holder. If it did not, the unused
-        // lease expires.
-        m_campaignAt = m_clock.now() + retryDelay;
-        return;
-    }
     becomeLeader(*result, lease, sentAt);
 }
 
--- a/libs/node/tests/FakeAsyncStore.h
+++ b/libs/node/tests/FakeAsyncStore.h
@@ -28,6 +28,10 @@
     int commits = 0;
     // Called after each get() has read its value. Lets a test change keys between two reads.
     std::function<void(const std::string& key)> onRead;
+    // Called for each lease that is requested, before it is granted.
+    std::function<void()> onGrant;
+    // Delay of the responses to commits that conflict.
+    Milliseconds conflictDelay { 0 };
 
     void put(const std::string& key, const std::string& value, LeaseId lease = {})
     {
@@ -107,7 +111,7 @@
                 conflict.current.push_back(*item);
         }
         if (!areConditionsMet)
-            return respond(callback, Result(makeUnexpected(conflict)));
+            return respondLater(conflictDelay, callback, Result(makeUnexpected(conflict)));
         ++m_revision;
         for (const auto& write : transaction.writes) {
             m_items[write.key] = { write.key, write.value, Revision(m_revision) };
@@ -127,6 +131,8 @@
 
     void grantLease(Milliseconds, StoreCallback<LeaseId> callback) override
     {
+        if (onGrant)
+            onGrant();
         respond(callback, isRefusing ? Expected<LeaseId, StoreError>(makeUnexpected(StoreError::Refused)) : LeaseId(++m_lastLease));
     }
 
@@ -162,6 +168,12 @@
         boost::asio::post(m_loop, [callback, result] { callback(result); });
     }
 
+    template <typename Callback, typename Result> void respondLater(Milliseconds delay, const Callback& callback, Result result)
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, delay);
+        timer->async_wait([timer, callback, result](const boost::system::error_code&) { callback(result); });
+    }
+
     boost::asio::io_context& m_loop;
     std::map<std::string, StoreItem> m_items;
     std::map<std::string, LeaseId> m_leases;
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -56,9 +56,21 @@
     }
 };
 
+// Share of a core of the smallest nodes of a site.
+constexpr double smallShare = 0.069;
+
+std::string makeLeaderRecord(const std::string& node, std::uint64_t incarnation)
+{
+    schema::LeaderRecordT record;
+    record.node = node;
+    record.incarnation = incarnation;
+    return encodeRecord<schema::LeaderRecord>(record);
+}
+
 struct LeaderFixture {
-    explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1)
-        : leadership(loop, store, clock, { name, incarnation, 0.5, incarnation },
+    explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1,
+        double processorShare = 0.5)
+        : leadership(loop, store, clock, { name, incarnation, processorShare, incarnation },
             { [this](Revision newTerm) { term = newTerm; }, [this] { term.reset(); } })
     {
     }
@@ -228,15 +240,54 @@
     CHECK(store.find(Leadership::termKey)->revision == *leader.term);
 }
 
+TEST_CASE("A node that lost a vacancy waits its usual delay at the next one")
+{
+    // Guards against a small node that takes the leadership before a larger one, because the time for its retry has passed meanwhile.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    store.conflictDelay = Milliseconds(20);
+    bool isOtherFirst = false;
+    store.onGrant = [&] {
+        if (!std::exchange(isOtherFirst, true))
+            store.put(Leadership::holderKey, makeLeaderRecord("other", 1));
+    };
+    LeaderFixture small(loop, store, "small", 1, smallShare);
+    LeaderFixture large(loop, store, "large", 2);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return store.commits == 1; }));
+    large.leadership.start();
+    loop.restart();
+    loop.run_for(Milliseconds(1000));
+    REQUIRE(!small.term);
+    store.remove(Leadership::holderKey);
+    REQUIRE(runUntil(loop, [&] { return small.term || large.term; }));
+    CHECK(large.term);
+}
+
+TEST_CASE("A small node that restarts leaves the leadership of its earlier process to a larger node")
+{
+    // Guards against a leader with too small a share of a core that stays the leader over its restart.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    store.put(Leadership::holderKey, makeLeaderRecord("small", 1));
+    LeaderFixture small(loop, store, "small", 2, smallShare);
+    LeaderFixture large(loop, store, "large", 3);
+    small.leadership.start();
+    large.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return small.term || large.term; }));
+    CHECK(large.term);
+}
+
 TEST_CASE("A restarted node takes over from its earlier process without waiting for the lease to expire")
 {
+    const auto processorShare = GENERATE(smallShare, 0.5);
     boost::asio::io_context loop { 1 };
     FakeAsyncStore store(loop);
-    auto before = std::make_unique<LeaderFixture>(loop, store, "first", 1);
+    auto before = std::make_unique<LeaderFixture>(loop, store, "first", 1, processorShare);
     before->leadership.start();
     REQUIRE(runUntil(loop, [&] { return before->term.has_value(); }));
     const auto earlier = *before->term;
-    LeaderFixture after(loop, store, "first", 2);
+    LeaderFixture after(loop, store, "first", 2, processorShare);
     after.leadership.start();
     REQUIRE(runUntil(loop, [&] { return after.term.has_value(); }));
     CHECK(*after.term > earlier);
