Hand the leadership over to a node with a much larger share of a core

Cause: the share of a core decided only who goes first at a vacancy. Nodes that start later than a small one never got a chance.

Evidence: with the request switched off, the new test failed: the node with twice the share never led (5 s). Tests also fail with a factor of 1 (leadership moves from 0.3 to 0.3 or 0.5), with requests to a holder of unknown share, and without the rule that a released term is not led again.

Change: the holder record carries the share (new last field; 0, as in records of earlier builds, means unknown). A candidate with at least twice the holder's share, both bounded to 0.5, writes kc/lead/handover at the earliest 3 s after the holder's key, on condition that term, holder and request are unchanged. The leader then releases its lease and campaigns with its usual delay; at that vacancy nodes smaller than the requesting one wait 0.5 s more. A lost request only means that the leader stays; a requesting node that is gone costs 0.5 s. Shares of a factor below two never change the leader.

--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -9,7 +9,8 @@
 struct LeadershipSettings {
     std::string node;
     std::uint64_t incarnation = 0;
-    // Share of a core available to this node. Nodes with a larger share campaign earlier.
+    // Share of a core available to this node. Nodes with a larger share campaign earlier, and a leader hands over to a node with a much
+    // larger share.
     double processorShare = 1.0;
     std::uint64_t seed = 0;
 };
@@ -27,6 +28,9 @@
 public:
     static constexpr char holderKey[] = "kc/lead/node";
     static constexpr char termKey[] = "kc/lead/term";
+    // Request of a node with a much larger share of a core to the leader to release the leadership. Valid in the term in which it was
+    // written.
+    static constexpr char handoverKey[] = "kc/lead/handover";
 
     Leadership(boost::asio::io_context&, AsyncStore&, const Clock&, LeadershipSettings, LeadershipCallbacks);
 
@@ -45,6 +49,8 @@
 
 private:
     void onKeyChange(const std::string& key, const std::optional<std::string>& value, Revision);
+    void onHolderChange(const std::optional<std::string>& value, Revision);
+    void onHandoverChange(const std::optional<std::string>& value, Revision);
     void tick();
     void campaignIfVacant();
     void campaign();
@@ -56,7 +62,11 @@
     void renew();
     void restoreHolderKey();
     void checkTerm();
+    void requestHandover();
+    void release(std::function<void()> onDone);
     bool isHolderOurs() const;
+    bool isHandoverRequested() const;
+    bool shouldRequestHandover() const;
     std::string encodeOwnRecord() const;
     Milliseconds computeCampaignDelay();
 
@@ -72,19 +82,27 @@
     std::optional<Revision> m_holderRevision;
     std::string m_holderNode;
     std::uint64_t m_holderIncarnation = 0;
+    double m_holderShare = 0;
+    std::optional<Revision> m_handoverRevision;
+    std::string m_handoverNode;
+    double m_handoverShare = 0;
     Revision m_term;
     bool m_isWatchCurrent = false;
 
     std::optional<Revision> m_leadingTerm;
+    // Term whose lease this process has released.
+    std::optional<Revision> m_releasedTerm;
     LeaseId m_lease;
     LeaseId m_claimLease;
     MonotonicTime m_confirmedAt;
     MonotonicTime m_renewedAt;
     MonotonicTime m_checkSentAt;
     std::optional<MonotonicTime> m_campaignAt;
+    MonotonicTime m_handoverRequestAt;
     bool m_isCampaigning = false;
     bool m_isRenewing = false;
     bool m_isChecking = false;
+    bool m_isRequestingHandover = false;
     bool m_isResigned = false;
 };
 
--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -23,10 +23,25 @@
     constexpr Milliseconds maxLowCpuDelay { 400 };
     // Share of a core from which on a node campaigns without the extra delay.
     constexpr double fullShare = 0.5;
+    // A leader hands over to a node with at least this many times its share.
+    constexpr double handoverFactor = 2;
+    // Time that a candidate knows the holder before it requests a handover, and between requests. Bounds how often the leader changes
+    // while nodes start up one after the other.
+    constexpr Milliseconds handoverInterval { 3000 };
+    // Extra campaign delay after a handover request of nodes with a smaller share than the requesting node.
+    constexpr Milliseconds handoverDelay { 500 };
     // Delay after a failed attempt, added to the campaign delay. A leader whose holder key expired during a store outage restores it before
     // candidates retry.
     constexpr Milliseconds retryDelay { 300 };
 
+    // Larger shares than a full one make no difference.
+    double clampShare(double share) { return std::clamp(share, 0.0, fullShare); }
+
+    bool isMuchLarger(double share, double holderShare)
+    {
+        return holderShare > 0 && clampShare(share) >= clampShare(holderShare) * handoverFactor;
+    }
+
 } // namespace
 
 Leadership::Leadership(
@@ -59,8 +74,13 @@
     m_isResigned = true;
     if (!m_leadingTerm)
         return onDone();
-    m_leadingTerm.reset();
     logEvent(LogLevel::Info, "leadership_resigned", { { "term", m_term } });
+    release(std::move(onDone));
+}
+
+void Leadership::release(std::function<void()> onDone)
+{
+    m_releasedTerm = std::exchange(m_leadingTerm, std::nullopt);
     m_callbacks.onLeadershipLost();
     m_store.revokeLease(m_lease, [onDone = std::move(onDone)](const auto&) { onDone(); });
 }
@@ -84,17 +104,41 @@
             stepDown();
         return;
     }
-    if (key != holderKey)
-        return;
+    if (key == holderKey)
+        onHolderChange(value, revision);
+    else if (key == handoverKey)
+        onHandoverChange(value, revision);
+}
+
+void Leadership::onHolderChange(const std::optional<std::string>& value, Revision revision)
+{
     m_holderRevision = value ? std::optional(revision) : std::nullopt;
     const auto record = value ? decodeRecord<schema::LeaderRecord>(*value) : nullptr;
     m_holderNode = record ? record->node : std::string();
     m_holderIncarnation = record ? record->incarnation : 0;
+    m_holderShare = record ? record->processor_share : 0;
+    m_handoverRequestAt = m_clock.now() + handoverInterval;
     // A time from an earlier vacancy would let this node campaign before nodes with a larger share.
     m_campaignAt.reset();
     logEvent(LogLevel::Info, "leader_seen", { { "holder", m_holderNode.empty() ? "none" : m_holderNode }, { "revision", revision } });
 }
 
+void Leadership::onHandoverChange(const std::optional<std::string>& value, Revision revision)
+{
+    m_handoverRevision = value ? std::optional(revision) : std::nullopt;
+    const auto record = value ? decodeRecord<schema::LeaderRecord>(*value) : nullptr;
+    m_handoverNode = record ? record->node : std::string();
+    m_handoverShare = record ? record->processor_share : 0;
+}
+
+bool Leadership::isHandoverRequested() const { return m_handoverRevision && *m_handoverRevision > m_term; }
+
+bool Leadership::shouldRequestHandover() const
+{
+    return m_holderRevision && m_holderNode != m_settings.node && isMuchLarger(m_settings.processorShare, m_holderShare)
+        && !isHandoverRequested() && !m_isRequestingHandover && !m_isResigned && m_isWatchCurrent && m_clock.now() >= m_handoverRequestAt;
+}
+
 bool Leadership::isHolderOurs() const
 {
     return m_holderRevision && m_holderNode == m_settings.node && m_holderIncarnation == m_settings.incarnation;
@@ -105,19 +149,26 @@
     schema::LeaderRecordT record;
     record.node = m_settings.node;
     record.incarnation = m_settings.incarnation;
+    record.processor_share = m_settings.processorShare;
     return encodeRecord<schema::LeaderRecord>(record);
 }
 
 Milliseconds Leadership::computeCampaignDelay()
 {
-    const auto share = std::clamp(m_settings.processorShare / fullShare, 0.0, 1.0);
-    const auto cpuDelay = std::chrono::duration_cast<Milliseconds>(maxLowCpuDelay * (1 - share));
-    return cpuDelay + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, campaignJitter.count())(m_random));
+    const auto share = clampShare(m_settings.processorShare);
+    const auto cpuDelay = std::chrono::duration_cast<Milliseconds>(maxLowCpuDelay * (1 - share / fullShare));
+    const bool isHandover = isHandoverRequested() && share < clampShare(m_handoverShare);
+    return cpuDelay + (isHandover ? handoverDelay : Milliseconds(0))
+        + Milliseconds(std::uniform_int_distribution<std::int64_t>(0, campaignJitter.count())(m_random));
 }
 
 void Leadership::tick()
 {
     const auto now = m_clock.now();
+    if (m_leadingTerm && !m_isRenewing && isHandoverRequested() && isMuchLarger(m_handoverShare, m_settings.processorShare)) {
+        logEvent(LogLevel::Info, "leadership_handed_over", { { "term", m_term }, { "to", m_handoverNode } });
+        release([] {});
+    }
     if (m_leadingTerm) {
         if (!m_isRenewing && now - m_renewedAt >= renewInterval)
             renew();
@@ -125,6 +176,8 @@
             checkTerm();
     } else {
         campaignIfVacant();
+        if (shouldRequestHandover())
+            requestHandover();
     }
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const boost::system::error_code& error) {
@@ -138,7 +191,7 @@
     if (m_leadingTerm || m_isCampaigning || m_isResigned || !m_isWatchCurrent)
         return;
     // Equal revisions show that a claim of this process took effect and its response was lost: the claim writes both keys at once.
-    if (isHolderOurs() && *m_holderRevision == m_term)
+    if (isHolderOurs() && *m_holderRevision == m_term && m_releasedTerm != m_term)
         return becomeLeader(m_term, m_claimLease, m_clock.now());
     // The key belongs to an earlier process of this node, which has ended, since this process could bind its addresses.
     const bool isEarlierProcess = m_holderRevision && m_holderNode == m_settings.node && !isHolderOurs();
@@ -173,7 +226,7 @@
             return retryLater();
         m_isCampaigning = false;
         if (m_holderRevision == removed)
-            onKeyChange(holderKey, std::nullopt, *result);
+            onHolderChange(std::nullopt, *result);
     });
 }
 
@@ -263,6 +316,22 @@
     });
 }
 
+// The conditions let one candidate's request take effect in a term, and none of an earlier term.
+void Leadership::requestHandover()
+{
+    m_isRequestingHandover = true;
+    m_handoverRequestAt = m_clock.now() + handoverInterval;
+    Transaction transaction;
+    transaction.conditions
+        = { { termKey, m_term }, { holderKey, *m_holderRevision }, { handoverKey, m_handoverRevision.value_or(Revision()) } };
+    transaction.writes = { { handoverKey, encodeOwnRecord(), {} } };
+    m_store.commit(transaction, [this, holder = m_holderNode](const Expected<Revision, TransactionFailure>& result) {
+        m_isRequestingHandover = false;
+        logEvent(LogLevel::Info, "handover_requested",
+            { { "holder", holder }, { "result", result ? "done" : toString(result.error().error) }, { "term", m_term } });
+    });
+}
+
 void Leadership::checkTerm()
 {
     m_isChecking = true;
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -59,24 +59,52 @@
 // Share of a core of the smallest nodes of a site.
 constexpr double smallShare = 0.069;
 
-std::string makeLeaderRecord(const std::string& node, std::uint64_t incarnation)
+// Rate of the clocks in tests of handovers.
+constexpr int handoverClockRate = 5;
+// Time after which a handover between two nodes would have been requested and completed, with clocks of that rate.
+constexpr Milliseconds handoverTime { 1000 };
+
+std::string makeLeaderRecord(const std::string& node, std::uint64_t incarnation, double processorShare = 0)
 {
     schema::LeaderRecordT record;
     record.node = node;
     record.incarnation = incarnation;
+    record.processor_share = processorShare;
     return encodeRecord<schema::LeaderRecord>(record);
 }
 
+// Runs faster than real time by a factor, for tests of rules that wait for seconds.
+class ScaledClock final : public Clock {
+public:
+    explicit ScaledClock(int rate)
+        : m_rate(rate)
+    {
+    }
+
+    MonotonicTime now() const override { return m_start + (std::chrono::steady_clock::now() - m_start) * m_rate; }
+    WallTime wallNow() const override { return std::chrono::system_clock::now(); }
+
+private:
+    int m_rate;
+    MonotonicTime m_start = std::chrono::steady_clock::now();
+};
+
 struct LeaderFixture {
     explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1,
-        double processorShare = 0.5)
-        : leadership(loop, store, clock, { name, incarnation, processorShare, incarnation },
-            { [this](Revision newTerm) { term = newTerm; }, [this] { term.reset(); } })
+        double processorShare = 0.5, int clockRate = 1)
+        : clock(clockRate)
+        , leadership(loop, store, clock, { name, incarnation, processorShare, incarnation },
+              { [this](Revision newTerm) {
+                   term = newTerm;
+                   ++elections;
+               },
+                  [this] { term.reset(); } })
     {
     }
 
-    BootClock clock;
+    ScaledClock clock;
     std::optional<Revision> term;
+    int elections = 0;
     Leadership leadership;
 };
 
@@ -278,6 +306,59 @@
     CHECK(large.term);
 }
 
+TEST_CASE("A leader with a small share of a core hands over to a node with a much larger one, and only once")
+{
+    // Guards against a leader that is too small to schedule and keeps the leadership as long as its process lives.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture small(loop, store, "small", 1, smallShare, handoverClockRate);
+    LeaderFixture larger(loop, store, "larger", 2, smallShare * 2, handoverClockRate);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return small.term.has_value(); }));
+    const auto earlier = *small.term;
+    larger.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return larger.term.has_value(); }));
+    CHECK(!small.term);
+    const auto term = *larger.term;
+    CHECK(term > earlier);
+    loop.restart();
+    loop.run_for(handoverTime);
+    CHECK(larger.term == term);
+    CHECK(!small.term);
+}
+
+TEST_CASE("A leader that handed over leads again if the other node has gone")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture small(loop, store, "small", 1, smallShare, handoverClockRate);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return small.term.has_value(); }));
+    const auto earlier = *small.term;
+    store.put(Leadership::handoverKey, makeLeaderRecord("gone", 1, 0.5));
+    REQUIRE(runUntil(loop, [&] { return small.term && *small.term > earlier; }));
+    // It did not lead again in the term that it had released.
+    CHECK(small.elections == 2);
+}
+
+TEST_CASE("A leader keeps the leadership if no other node has a much larger share of a core, or its own share is unknown")
+{
+    // Guards against repeated changes of the leader between nodes alike, and against requests to a node of an earlier version.
+    const auto [share, candidateShare] = GENERATE(table<double, double>({ { 0.3, 0.3 }, { 0.3, 0.5 }, { 0.5, 4.0 }, { 0.0, 0.5 } }));
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture leader(loop, store, "leader", 1, share, handoverClockRate);
+    LeaderFixture candidate(loop, store, "candidate", 2, candidateShare, handoverClockRate);
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    const auto term = leader.term;
+    candidate.leadership.start();
+    loop.restart();
+    loop.run_for(handoverTime);
+    CHECK(leader.term == term);
+    CHECK(!store.find(Leadership::handoverKey));
+}
+
 TEST_CASE("A restarted node takes over from its earlier process without waiting for the lease to expire")
 {
     const auto processorShare = GENERATE(smallShare, 0.5);
