Release a run whose stop is not confirmed once its starts have expired

Callers would see: a standing task isn't started again for as long as a worker answers polls, but neither starts nor stops.

Cause: a run with an unclear start is released when its stop is confirmed and a later poll doesn't list it, or when the worker's lease ends. The stop was never confirmed, and each answered poll extended the lease.

Fix: workers refuse a start after its deadline ("late"), and no deadline is later than the lease at the time at which the stop was sent.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -107,6 +107,8 @@
     MonotonicTime orderedAt;
     std::optional<MonotonicTime> startConfirmedAt;
     std::optional<MonotonicTime> stopConfirmedAt;
+    // For a run that is being stopped: latest time at which the worker's incarnation can carry out one of its start orders.
+    std::optional<MonotonicTime> startsExpireAt;
     // The worker has reported the run in its current incarnation.
     bool isListed = false;
     unsigned startRetries = 0;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -106,7 +106,9 @@
         const bool wasStopped = run->stopConfirmedAt && *run->stopConfirmedAt < sentAt;
         // The fencing token of this term prevents late start orders of earlier leaders from being executed.
         const bool isOfEarlierTerm = run->phase == RunPhase::Unverified;
-        const bool isGone = run->phase == RunPhase::Stopping ? wasStopped : (wasStarted || isOfEarlierTerm);
+        // A worker that answers polls, but no stops, refuses starts after their deadline.
+        const bool areStartsOver = run->startsExpireAt && *run->startsExpireAt < sentAt && run->born == worker.born;
+        const bool isGone = run->phase == RunPhase::Stopping ? (wasStopped || areStartsOver) : (wasStarted || isOfEarlierTerm);
         if (!isGone)
             return;
         orders.emplace_back(Decision { "run_missing", toString(ref), worker.id, isOfEarlierTerm ? "never_started" : "not_listed",
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -423,6 +423,10 @@
     run->orderedAt = now;
     if (result == StopResult::Accepted)
         run->stopConfirmedAt = now;
+    // The stop was sent after all starts of the run. Each of them carried a deadline, none later than the end of the worker's lease.
+    const auto* worker = findWorker(state, run->worker);
+    if (!run->startsExpireAt && worker && run->born == worker->born && worker->hasSeenFence)
+        run->startsExpireAt = worker->leaseEnd;
 }
 
 namespace {
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -53,6 +53,19 @@
     }
 }
 
+TEST_CASE("A task is started elsewhere if a worker answers polls but neither starts nor stops")
+{
+    // Guards against waiting for the confirmed stop of a run without end: each poll extends the lease of the worker, so it never expires.
+    SchedulerWorld world(otherCount + 1);
+    makeEmptiestWorkerFaulty(world, StartResult::NoAnswer);
+    world.setIgnoresStops(0, true);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .cpuMillis = 1500, .isLongRunning = true }));
+    // Three starts without an answer, the lease of the last one, and a second attempt.
+    const auto limit = Milliseconds(1100) + world.state().parameters.lease * 11 / 10 + Milliseconds(1000);
+    CHECK(world.runUntil([&] { return world.runningCount("a") == 1; }, limit));
+    CHECK(world.violations().empty());
+}
+
 TEST_CASE("A worker that takes no starts is quarantined")
 {
     // Guards against giving each waiting task its own failed attempt on a worker that takes no starts.
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -158,6 +158,8 @@
 
 void SchedulerWorld::setFrozen(unsigned index, bool isFrozen) { m_workers[index].isFrozen = isFrozen; }
 
+void SchedulerWorld::setIgnoresStops(unsigned index, bool ignoresStops) { m_workers[index].ignoresStops = ignoresStops; }
+
 void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
 
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
@@ -318,7 +320,7 @@
     };
     post(randomArrivalTime(), [=, this] {
         auto& target = findFakeWorker(order.worker);
-        if (!isReachable(target) || isOrderLost || (m_rules.ordersCarryFence && fence < target.fence))
+        if (!isReachable(target) || isOrderLost || target.ignoresStops || (m_rules.ordersCarryFence && fence < target.fence))
             return post(m_now + Milliseconds(300), [=] { answer(StopResult::NoAnswer); });
         target.fence = std::max(target.fence, fence);
         if (target.running.contains(order.run))
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -80,6 +80,8 @@
     // Lets a worker answer start orders with this result instead of starting the run; NoAnswer: the order is lost. Polls are answered.
     void setStartFault(unsigned, std::optional<StartResult>);
 
+    // Lets a worker ignore stop orders. Polls are answered.
+    void setIgnoresStops(unsigned, bool);
     // Lets a worker execute its runs without progress.
     void setFrozen(unsigned, bool);
     // A leader that reads the answers of polls this long after they have arrived.
@@ -124,6 +126,7 @@
         MonotonicTime leaseEnd;
         std::optional<StartResult> startFault;
         bool isFrozen = false;
+        bool ignoresStops = false;
     };
     struct StoredJob {
         std::shared_ptr<schema::GraphJobSpecT> spec;
