Poll without a wait for whether a stopped run never began

Callers would see: a task whose start was unclear is placed again up to a second later than the worker could have said that the run isn't there.

Cause: the poll after the confirmed stop waited at the worker for an end. The stop of a run that never began produces none.

Fix: no wait while a run that the worker has not listed is stopped. One such poll decides, so the calls don't become more.

--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -118,9 +118,18 @@
 
     bool needsPacing(const Worker& worker) { return worker.servingCpuMillis > 0 && worker.fillingCpuMillis > 0; }
 
-    Milliseconds getPollWait(const Worker& worker)
+    // The stop of a run that never began produces no end, so a poll would wait in vain for one while the task cannot be placed again.
+    bool hasStoppedUnlistedRun(State& state, const Worker& worker)
     {
-        if (worker.runs.empty())
+        return std::ranges::any_of(worker.runs, [&](const RunRef& ref) {
+            const auto* run = findRun(state, ref);
+            return run && run->phase == RunPhase::Stopping && run->stopConfirmedAt && !run->isListed;
+        });
+    }
+
+    Milliseconds getPollWait(State& state, const Worker& worker)
+    {
+        if (worker.runs.empty() || hasStoppedUnlistedRun(state, worker))
             return Milliseconds(0);
         return needsPacing(worker) ? pacingPollWait : pollWait;
     }
@@ -265,7 +274,7 @@
         advanceEndCursor(state, worker);
         worker.isPollInFlight = true;
         const bool isFirst = !worker.hasSeenFence || worker.missedPolls > 0;
-        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(worker) });
+        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker) });
     }
 }
 
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -1,4 +1,5 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
 
 #include <catch2/catch.hpp>
 
@@ -89,3 +90,28 @@
         world.setStartFault(i, std::nullopt);
     CHECK(world.runUntil([&] { return world.runningCount("a") >= workerCount * 6 / 10; }, Milliseconds(3000)));
 }
+
+TEST_CASE("A worker is polled without a wait for whether a stopped run never began")
+{
+    // Guards against a wait of a second for a report that the worker could give at once: such a stop produces no end that would end the
+    // wait.
+    SchedulerWorld world(1);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(1000)));
+    auto& state = world.state();
+    auto* run = findRun(state, { { GraphJobId("a"), 0, 0, 0 }, RunNumber(1) });
+    auto& worker = state.workers.at(SchedulerWorld::workerId(0));
+    const auto now = worker.lastAnswerAt + Milliseconds(1000);
+    const auto getWait = [&] {
+        worker.isPollInFlight = false;
+        Orders orders;
+        schedulePolls(state, now, orders);
+        REQUIRE(orders.size() == 1);
+        return std::get<PollOrder>(orders.front()).wait;
+    };
+    CHECK(getWait() > Milliseconds(0));
+    run->phase = RunPhase::Stopping;
+    run->isListed = false;
+    run->stopConfirmedAt = now;
+    CHECK(getWait() == Milliseconds(0));
+}
