Count the limit of quarantined workers for each service

Callers would see: tasks of a service with few machines wait for up to 12 s although its machines have room.

Cause: a third of the whole fleet may be quarantined, so a small service of a large fleet could lose all its workers at once.

Evidence: "A small service of a large fleet keeps workers that are not quarantined" failed before: 4 of 4 workers.

Fix: the limit counts the workers of the same service. One worker may be quarantined in a service of two, as a third of it would be none.

--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -18,7 +18,7 @@
     constexpr unsigned maxQuarantineDoublings = 2;
     // After each failure or stall that counts against a worker, other workers are preferred for this time.
     constexpr Milliseconds failureAvoidTime { 1500 };
-    // Limits quarantines: if more workers appear to fail, the cause is likely not the workers.
+    // Limits the quarantines in a service: if more of its workers appear to fail, the cause is likely not the workers.
     constexpr std::size_t maxQuarantinePercent = 34;
 
     // A run is stalled if its percentage has not changed for this time plus this fraction of its estimate.
@@ -28,17 +28,25 @@
     // for this time.
     constexpr Milliseconds standingStallTimeout { 4000 };
 
-    std::size_t countQuarantined(const State& state, MonotonicTime now)
+    bool mayQuarantineOneMore(const State& state, const ServiceName& service, MonotonicTime now)
     {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(state.workers, [&](const auto& entry) { return entry.second.health.quarantinedUntil > now; }));
+        std::size_t size = 0;
+        std::size_t quarantined = 0;
+        for (const auto& [id, worker] : state.workers) {
+            if (worker.service != service)
+                continue;
+            ++size;
+            quarantined += worker.health.quarantinedUntil > now ? 1 : 0;
+        }
+        const std::size_t limit = std::max<std::size_t>(size * maxQuarantinePercent / 100, size > 1 ? 1 : 0);
+        return quarantined < limit;
     }
 
     void quarantine(State& state, Worker& worker, const char* reason, MonotonicTime now, Orders& orders)
     {
         if (worker.health.quarantinedUntil > now)
             return;
-        if ((countQuarantined(state, now) + 1) * 100 > state.workers.size() * maxQuarantinePercent)
+        if (!mayQuarantineOneMore(state, worker.service, now))
             return;
         const auto doublings = std::min(worker.health.quarantines++, maxQuarantineDoublings);
         worker.health.quarantinedUntil = now + quarantineTime * (1 << doublings);
--- a/libs/scheduler/tests/HealthTests.cpp
+++ b/libs/scheduler/tests/HealthTests.cpp
@@ -1,5 +1,8 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
+#include "scheduler/Health.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace kingcuploom;
@@ -33,3 +36,31 @@
     CHECK(world.runUntil([&] { return world.storedState("a") == schema::JobState::Completed; }, Milliseconds(5000)));
     CHECK(world.violations().empty());
 }
+
+TEST_CASE("A small service of a large fleet keeps workers that are not quarantined")
+{
+    // Guards against counting the limit of quarantined workers over the whole fleet: a service with a few workers could lose all of them
+    // for up to 12 s, and its standing tasks with them.
+    State state;
+    const MonotonicTime now { std::chrono::hours(1) };
+    Orders orders;
+    const auto list = [&](const std::string& id, const char* service) {
+        WorkerEntry entry;
+        entry.id = WorkerId(id);
+        entry.born = IncarnationTime(1);
+        entry.service = ServiceName(service);
+        onWorkerListed(state, entry, now, orders);
+    };
+    constexpr int smallServiceSize = 4;
+    for (int i = 0; i < 40; ++i)
+        list("large" + std::to_string(i), "large");
+    for (int i = 0; i < smallServiceSize; ++i)
+        list("small" + std::to_string(i), "small");
+    for (int i = 0; i < smallServiceSize; ++i) {
+        auto& worker = state.workers.at(WorkerId("small" + std::to_string(i)));
+        for (int stall = 0; stall < 3; ++stall)
+            recordStall(state, worker, {}, now, orders);
+    }
+    const auto quarantined = std::ranges::count_if(state.workers, [&](const auto& it) { return it.second.health.quarantinedUntil > now; });
+    CHECK(quarantined == 1);
+}
