Choose the worker of a first attempt by its stored score only

Cause: for each task and candidate, the workers that the task has failed or runs on were searched, although a first attempt has none.

--- a/libs/scheduler/src/StepCandidates.cpp
+++ b/libs/scheduler/src/StepCandidates.cpp
@@ -92,6 +92,11 @@
 
 Worker* StepCandidates::choose(const Task& task) const
 {
+    const bool isFirstAttempt = task.failedOn.empty() && task.runs.empty();
+    if (isFirstAttempt) {
+        const auto it = std::ranges::max_element(m_candidates, {}, &Candidate::score);
+        return it == m_candidates.end() ? nullptr : it->worker;
+    }
     Candidate best { nullptr, -std::numeric_limits<double>::infinity() };
     for (const auto& it : m_candidates) {
         if (hasRunOn(task, *it.worker))
