--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -210,7 +210,7 @@
     learnEffect(state, demand.image, relevantEffect, 3);
     state.interference.refit();
     const auto before = state.workers;
-    const auto spec = makeBatchSpec(0, stepTasks, demand);
+    const auto spec = makeBatchSpec(0, static_cast<std::uint32_t>(bench.range(1)), demand);
     std::size_t placed = 0;
     for (auto _ : bench) {
         bench.PauseTiming();
@@ -262,8 +262,8 @@
 BENCHMARK(ticks)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
 BENCHMARK(passes)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
 BENCHMARK(polls)->Arg(66)->Arg(490)->Unit(benchmark::kMicrosecond);
-BENCHMARK_CAPTURE(placements, filling, fillingDemand)->Arg(490)->Unit(benchmark::kMicrosecond);
-BENCHMARK_CAPTURE(placements, plain, plainDemand)->Arg(490)->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(placements, filling, fillingDemand)->Args({ 490, stepTasks })->Args({ 490, 1 })->Unit(benchmark::kMicrosecond);
+BENCHMARK_CAPTURE(placements, plain, plainDemand)->Args({ 490, stepTasks })->Args({ 490, 1 })->Unit(benchmark::kMicrosecond);
 BENCHMARK(backlogs)->Arg(490)->Unit(benchmark::kMicrosecond);
 
 } // namespace
