--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -55,7 +55,6 @@
     void campaignIfVacant();
     void campaign();
     void retryLater();
-    void removeEarlierHolder();
     void claim(LeaseId);
     void onClaimed(LeaseId, MonotonicTime sentAt, const Expected<Revision, TransactionFailure>&);
     void becomeLeader(Revision term, LeaseId, MonotonicTime sentAt);
--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -200,11 +200,7 @@
     const auto now = m_clock.now();
     if (!m_campaignAt)
         m_campaignAt = isEarlierProcess ? now : now + computeCampaignDelay();
-    if (now < *m_campaignAt)
-        return;
-    if (isEarlierProcess && m_settings.processorShare < fullShare)
-        removeEarlierHolder();
-    else
+    if (now >= *m_campaignAt)
         campaign();
 }
 
@@ -214,22 +210,6 @@
     m_campaignAt = m_clock.now() + retryDelay + computeCampaignDelay();
 }
 
-// A node with a small share makes the key of its earlier process vacant instead of replacing it, so that larger nodes can go first.
-void Leadership::removeEarlierHolder()
-{
-    m_isCampaigning = true;
-    Transaction transaction;
-    transaction.conditions = { { holderKey, *m_holderRevision } };
-    transaction.removals = { holderKey };
-    m_store.commit(transaction, [this, removed = *m_holderRevision](const Expected<Revision, TransactionFailure>& result) {
-        if (!result)
-            return retryLater();
-        m_isCampaigning = false;
-        if (m_holderRevision == removed)
-            onHolderChange(std::nullopt, *result);
-    });
-}
-
 void Leadership::campaign()
 {
     m_isCampaigning = true;
