Commit changed jobs in the order in which they have waited

Callers would see: a standing task isn't restarted, and other jobs aren't started, while more jobs change than commits can take; always those with high ids.

With a backlog, for example of a leader whose loop is late, jobs with low ids were due again before those with high ids had their turn.

Fix: due jobs are taken by the time of their first uncommitted change.

--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -37,34 +37,29 @@
     Transaction transaction;
     transaction.conditions.push_back({ Leadership::termKey, m_state.term });
     std::size_t entries = 1;
-    const auto isDue = [&](const scheduler::Job& job) { return job.isUrgent || now - job.dirtySince >= commitBatchDelay; };
     const bool isAnyDue = std::ranges::any_of(m_state.dirty, [&](const GraphJobId& id) {
         const auto& job = m_state.jobs.at(id);
-        return !job.isCommitInFlight && isDue(job);
+        return !job.isCommitInFlight && scheduler::isCommitDue(job, now, commitBatchDelay);
     });
     if (!isAnyDue)
         return false;
     // Jobs that are due go first; other changed jobs fill the rest of the transaction.
-    for (const bool isDuePass : { true, false }) {
-        for (auto it = m_state.dirty.begin(); it != m_state.dirty.end();) {
-            auto& job = m_state.jobs.at(*it);
-            const auto needed = entriesPerJob + (isFinished(job) ? removalsPerEndedJob : 0);
-            if (job.isCommitInFlight || isDue(job) != isDuePass || entries + needed > AsyncStore::maxTransactionEntries) {
-                ++it;
-                continue;
-            }
-            entries += needed;
-            transaction.conditions.push_back({ runKey(job.id), job.recordRevision });
-            transaction.writes.push_back({ runKey(job.id), encodeProgress(scheduler::makeProgressRecord(job)), {} });
-            if (isFinished(job)) {
-                transaction.removals.push_back(jobKey(job.id));
-                transaction.removals.push_back(cancelKey(job.id));
-            }
-            job.isCommitInFlight = true;
-            job.isUrgent = false;
-            jobs.emplace_back(job.id, job.version);
-            it = m_state.dirty.erase(it);
+    for (const auto& id : scheduler::orderCommits(m_state, now, commitBatchDelay)) {
+        auto& job = m_state.jobs.at(id);
+        const auto needed = entriesPerJob + (isFinished(job) ? removalsPerEndedJob : 0);
+        if (entries + needed > AsyncStore::maxTransactionEntries)
+            continue;
+        entries += needed;
+        transaction.conditions.push_back({ runKey(job.id), job.recordRevision });
+        transaction.writes.push_back({ runKey(job.id), encodeProgress(scheduler::makeProgressRecord(job)), {} });
+        if (isFinished(job)) {
+            transaction.removals.push_back(jobKey(job.id));
+            transaction.removals.push_back(cancelKey(job.id));
         }
+        job.isCommitInFlight = true;
+        job.isUrgent = false;
+        jobs.emplace_back(job.id, job.version);
+        m_state.dirty.erase(id);
     }
     ++m_commitsInFlight;
     m_store.commit(transaction, [self = shared_from_this(), jobs = std::move(jobs), sentAt = now](const auto& result) {
--- a/libs/scheduler/include/scheduler/Jobs.h
+++ b/libs/scheduler/include/scheduler/Jobs.h
@@ -23,6 +23,12 @@
 // Returns the progress record to store, from which a later leader resumes the job.
 schema::GraphJobProgressT makeProgressRecord(const Job&);
 
+// Returns the jobs with progress to store and no commit in flight, in the order in which to store them: jobs that are due first,
+// then by the time that they have waited.
+std::vector<GraphJobId> orderCommits(const State&, MonotonicTime now, Milliseconds batchDelay);
+// Returns true if a start or a caller waits for the commit of the job, or if it has waited for the batch delay.
+bool isCommitDue(const Job&, MonotonicTime now, Milliseconds batchDelay);
+
 // Returns the estimated duration of the critical path through the steps.
 Milliseconds computeCriticalPath(const schema::GraphJobSpecT&);
 
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -241,6 +241,19 @@
     return progress;
 }
 
+bool isCommitDue(const Job& job, MonotonicTime now, Milliseconds batchDelay) { return job.isUrgent || now - job.dirtySince >= batchDelay; }
+
+std::vector<GraphJobId> orderCommits(const State& state, MonotonicTime now, Milliseconds batchDelay)
+{
+    std::vector<GraphJobId> order;
+    std::ranges::copy_if(state.dirty, std::back_inserter(order), [&](const GraphJobId& id) { return !state.jobs.at(id).isCommitInFlight; });
+    std::ranges::stable_sort(order, {}, [&](const GraphJobId& id) {
+        const auto& job = state.jobs.at(id);
+        return std::pair(!isCommitDue(job, now, batchDelay), job.dirtySince);
+    });
+    return order;
+}
+
 std::size_t pendingJobs(const State& state, const QueueName& queue, MonotonicTime, std::int64_t wallMs)
 {
     return static_cast<std::size_t>(std::ranges::count_if(state.active, [&](const GraphJobId& id) {
