Start the members of a gang together when the permit of one has expired

Callers would see: runs of a gang end because they waited alone, and the gang is started again.

Cause: since recorded starts wait for a new permit, each member waited for its own. Before that, the member was released and the others were started, with the same result.

Evidence: "The members of a gang are started together although the permit of one has expired" failed before: one of two members was at its worker.

Fix: the recorded members of a gang are held until each has a valid permit.

--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -513,23 +513,44 @@
     }
 }
 
+namespace {
+
+    // Returns the workers of recorded runs whose permit has expired, by step.
+    std::map<StepRef, std::vector<WorkerId>> findExpiredPermits(State& state, MonotonicTime now)
+    {
+        std::map<StepRef, std::vector<WorkerId>> expired;
+        for (const auto& ref : state.recordedRuns) {
+            const auto* run = findRun(state, ref);
+            if (!run || run->phase != RunPhase::Recorded)
+                continue;
+            const auto& worker = *findWorker(state, run->worker);
+            if (checkPermit(state, *findJob(state, ref.task.job), ref.task, worker, now) == PermitStatus::Expired)
+                expired[toStepRef(ref.task)].push_back(run->worker);
+        }
+        return expired;
+    }
+
+} // namespace
+
 void sendRecordedStarts(State& state, MonotonicTime now, Orders& orders)
 {
     if (state.isViewStale)
         return;
-    std::map<StepRef, std::vector<WorkerId>> unpermitted;
+    const auto unpermitted = findExpiredPermits(state, now);
     for (const auto& ref : std::exchange(state.recordedRuns, {})) {
         auto* run = findRun(state, ref);
         if (!run || run->phase != RunPhase::Recorded)
             continue;
-        const auto permit = checkPermit(state, *findJob(state, ref.task.job), ref.task, *findWorker(state, run->worker), now);
+        const auto& job = *findJob(state, ref.task.job);
+        const auto permit = checkPermit(state, job, ref.task, *findWorker(state, run->worker), now);
         if (permit == PermitStatus::Unobtainable) {
             stopRun(state, ref, StopReason::UncertainStart, now, orders);
             continue;
         }
-        if (permit == PermitStatus::Expired) {
+        // The members of a gang wait for each other, so that none waits at its worker.
+        const bool isGangHeld = getStepSpec(job, ref.task.step).gang && unpermitted.contains(toStepRef(ref.task));
+        if (permit == PermitStatus::Expired || isGangHeld) {
             state.recordedRuns.push_back(ref);
-            unpermitted[toStepRef(ref.task)].push_back(run->worker);
             continue;
         }
         run->phase = RunPhase::Starting;
--- a/libs/scheduler/tests/AdviceTests.cpp
+++ b/libs/scheduler/tests/AdviceTests.cpp
@@ -103,3 +103,18 @@
     CHECK(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(4000)));
     CHECK(world.violations().empty());
 }
+
+TEST_CASE("The members of a gang are started together although the permit of one has expired")
+{
+    // Guards against members that wait at their workers for one that is held back, and end alone.
+    SchedulerWorld world(2);
+    world.setAllowedWorkers({ 0, 1 });
+    world.setCommitTime(Milliseconds(500));
+    world.submit(makeJobSpec("a", { .counts = { 2 }, .cpuMillis = 3000, .estimateMs = 3000, .isGang = true, .isAdvised = true }));
+    auto& state = world.state();
+    REQUIRE(world.runUntil([&] { return countRuns(state.jobs.at(GraphJobId("a"))) == 2; }, Milliseconds(500)));
+    dropPermit(state, firstStep, SchedulerWorld::workerId(0));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") > 0; }, Milliseconds(1000)));
+    world.step();
+    CHECK(world.runningCount("a") == 2);
+}
