Hold a recorded start while leases may not be extended, instead of placing it again

Callers would see: commits of starts that are never sent, as long as the store answers commits so late that leases may not be extended; workers are avoided for no fault.

Cause: as with an old view, the start was withheld, the run released and the task placed again. Nothing bounded how often.

Fix: the recorded run is held. Nothing is placed or sent while the store is silent, so the held starts aren't tried in each pass.

--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -261,7 +261,7 @@
 
 void Coordinator::runSchedulingPass()
 {
-    const bool wasViewStale = std::exchange(m_state.isViewStale, !isViewFresh());
+    const bool wasViewStale = std::exchange(m_state.isViewStale, !isViewFresh() || !mayExtendLeases());
     if (wasViewStale != m_state.isViewStale) {
         const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_workersCurrentAt);
         logEvent(LogLevel::Warning, m_state.isViewStale ? "starts_held" : "starts_released",
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -329,7 +329,7 @@
     std::map<QueueName, schema::QueuePolicyT> queues;
     std::set<FailureDomain> closedDomains;
     std::map<WorkerId, Worker> workers;
-    // The view of draining workers and closed domains is too stale for starts.
+    // The view of draining workers and closed domains is too stale for starts, or the store has been silent for too long to extend leases.
     bool isViewStale = false;
     std::unordered_map<GraphJobId, Job> jobs;
     // Jobs that have not ended, or whose runs have not all ended.
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -153,7 +153,8 @@
         orders.emplace_back(StartOrder { ref, run.worker, true });
     }
 
-    // A start for which the view is too old, or whose permit has expired, stays recorded and is sent once it can be. To place the task
+    // A start for which the view is too old, whose permit has expired, or whose lease may not be extended stays recorded and is sent
+    // once it can be. To place the task
     // again instead could go on without end, because the next commit may return too late as well.
     void holdStart(State& state, const RunRef& ref, Run& run)
     {
@@ -373,6 +374,7 @@
     }
     case StartResult::StaleView:
     case StartResult::PermitExpired:
+    case StartResult::StoreSilent:
         return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
@@ -391,7 +393,6 @@
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::WorkerLeaving:
-    case StartResult::StoreSilent:
         if (worker)
             worker->health.avoidUntil = now + unhealthyRetryDelay;
         // An earlier send of the order may have arrived.
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -115,3 +115,16 @@
     run->stopConfirmedAt = now;
     CHECK(getWait() == Milliseconds(0));
 }
+
+TEST_CASE("A recorded start waits for the store to answer again")
+{
+    // Guards against placing the task again and again, with a commit each, while leases may not be extended.
+    SchedulerWorld world(2);
+    world.run(Milliseconds(200));
+    world.setStoreSilent(true);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true }));
+    world.run(Milliseconds(3000));
+    world.setStoreSilent(false);
+    CHECK(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(200)));
+    CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(1));
+}
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -160,6 +160,8 @@
 
 void SchedulerWorld::setIgnoresStops(unsigned index, bool ignoresStops) { m_workers[index].ignoresStops = ignoresStops; }
 
+void SchedulerWorld::setStoreSilent(bool isSilent) { m_isStoreSilent = isSilent; }
+
 void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
 
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
@@ -279,6 +281,8 @@
     };
     if (m_state.isViewStale)
         return post(m_now, [answer] { answer(StartResult::StaleView); });
+    if (m_isStoreSilent)
+        return post(m_now, [answer] { answer(StartResult::StoreSilent); });
     if (isAdvised(m_state, *findJob(m_state, order.run.task.job)) && !findPermit(m_state, toStepRef(order.run.task), *worker, m_now))
         return post(m_now, [answer] { answer(StartResult::PermitExpired); });
     if (!until)
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -80,6 +80,8 @@
     // Lets a worker answer start orders with this result instead of starting the run; NoAnswer: the order is lost. Polls are answered.
     void setStartFault(unsigned, std::optional<StartResult>);
 
+    // Withholds all starts because the store is silent.
+    void setStoreSilent(bool);
     // Lets a worker ignore stop orders. Polls are answered.
     void setIgnoresStops(unsigned, bool);
     // Lets a worker execute its runs without progress.
@@ -180,6 +182,7 @@
     MonotonicTime m_viewRefreshedAt;
     std::optional<Milliseconds> m_commitTime;
     Milliseconds m_reportDelay { 0 };
+    bool m_isStoreSilent = false;
     std::set<WorkerId> m_allowedWorkers;
     Milliseconds m_adviceValidity { 3000 };
     std::size_t m_adviceRequests = 0;
