--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -154,7 +154,8 @@
         orders.emplace_back(StartOrder { ref, run.worker, true });
     }
 
-    // A start for which the view is too old, or whose permit has expired, stays recorded and is sent once it can be. To place the task
+    // A start for which the view is too old, whose permit has expired, or whose lease may not be extended stays recorded and is sent
+    // once it can be. To place the task
     // again instead could go on without end, because the next commit may return too late as well.
     void holdStart(State& state, const RunRef& ref, Run& run)
     {
@@ -397,6 +398,7 @@
     }
     case StartResult::StaleView:
     case StartResult::PermitExpired:
+    case StartResult::StoreSilent:
         return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
@@ -415,7 +417,6 @@
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::WorkerLeaving:
-    case StartResult::StoreSilent:
         if (worker)
             worker->health.avoidUntil = now + unhealthyRetryDelay;
         // An earlier send of the order may have arrived.
@@ -537,23 +538,44 @@
     }
 }
 
+namespace {
+
+    // Returns the workers of recorded runs whose permit has expired, by step.
+    std::map<StepRef, std::vector<WorkerId>> findExpiredPermits(State& state, MonotonicTime now)
+    {
+        std::map<StepRef, std::vector<WorkerId>> expired;
+        for (const auto& ref : state.recordedRuns) {
+            const auto* run = findRun(state, ref);
+            if (!run || run->phase != RunPhase::Recorded)
+                continue;
+            const auto& worker = *findWorker(state, run->worker);
+            if (checkPermit(state, *findJob(state, ref.task.job), ref.task, worker, now) == PermitStatus::Expired)
+                expired[toStepRef(ref.task)].push_back(run->worker);
+        }
+        return expired;
+    }
+
+} // namespace
+
 void sendRecordedStarts(State& state, MonotonicTime now, Orders& orders)
 {
     if (state.isViewStale)
         return;
-    std::map<StepRef, std::vector<WorkerId>> unpermitted;
+    const auto unpermitted = findExpiredPermits(state, now);
     for (const auto& ref : std::exchange(state.recordedRuns, {})) {
         auto* run = findRun(state, ref);
         if (!run || run->phase != RunPhase::Recorded)
             continue;
-        const auto permit = checkPermit(state, *findJob(state, ref.task.job), ref.task, *findWorker(state, run->worker), now);
+        const auto& job = *findJob(state, ref.task.job);
+        const auto permit = checkPermit(state, job, ref.task, *findWorker(state, run->worker), now);
         if (permit == PermitStatus::Unobtainable) {
             stopRun(state, ref, StopReason::UncertainStart, now, orders);
             continue;
         }
-        if (permit == PermitStatus::Expired) {
+        // The members of a gang wait for each other, so that none waits at its worker.
+        const bool isGangHeld = getStepSpec(job, ref.task.step).gang && unpermitted.contains(toStepRef(ref.task));
+        if (permit == PermitStatus::Expired || isGangHeld) {
             state.recordedRuns.push_back(ref);
-            unpermitted[toStepRef(ref.task)].push_back(run->worker);
             continue;
         }
         run->phase = RunPhase::Starting;
