Visit only waiting and ended jobs in a pass, not all active ones

Cause: each pass looked up each active job twice by its id, to place its tasks and to retire it, although few jobs wait and fewer have ended.

Change: the state keeps the sets of waiting and of ended jobs. Both are subsets of the active jobs, so the order of jobs is the same.

490 workers with 163 jobs, before and after: pass without waiting tasks 7.1 and 3.4 us, one filling task 32 and 31 us, one other batch task 14 and 11 us, in three runs each.

--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -198,6 +198,7 @@
         }
     }
     state.active.erase(id);
+    state.waiting.erase(id);
     state.dirty.erase(id);
     state.jobs.erase(id);
 }
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -190,7 +190,7 @@
     MonotonicTime dirtySince;
     // Revision of the progress record in the store; 0 if there is none.
     Revision recordRevision;
-    // An open step of any occurrence may have tasks without a run. Updated at each placement.
+    // An open step of any occurrence may have tasks without a run. Set by markWaiting, updated at each placement.
     bool hasWaitingTasks = false;
     // Placement failed for lack of capacity and is not retried before this time.
     MonotonicTime blockedUntil;
@@ -329,6 +329,10 @@
     std::unordered_map<GraphJobId, Job> jobs;
     // Jobs that have not ended, or whose runs have not all ended.
     std::set<GraphJobId> active;
+    // The active jobs that have ended.
+    std::set<GraphJobId> ended;
+    // The active jobs with hasWaitingTasks, and some that had it. Outdated entries are removed at each placement.
+    std::set<GraphJobId> waiting;
     // Jobs with progress to store.
     std::set<GraphJobId> dirty;
     // Permits of the steps whose queue has an adviser.
@@ -368,4 +372,7 @@
 // Records a change of the job's progress, to be stored with the next commit.
 void markDirty(State&, Job&, MonotonicTime now, bool isUrgent);
 
+// Records that the job may have tasks without a run.
+void markWaiting(State&, Job&);
+
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -67,8 +67,10 @@
     {
         job.state = progress.state;
         job.endedWallMs = progress.ended_at_ms;
-        if (hasEnded(job))
+        if (hasEnded(job)) {
             job.endedAt = now;
+            state.ended.insert(job.id);
+        }
         for (const auto& record : progress.tasks) {
             while (job.openedOccurrences <= record->occurrence)
                 job.occurrences.emplace(job.openedOccurrences++, makeOccurrence(*job.spec));
@@ -154,7 +156,7 @@
     if (progress)
         restoreProgress(state, job, *progress, now);
     openDueOccurrences(state, job, now, wallMs);
-    job.hasWaitingTasks = true;
+    markWaiting(state, job);
     return &job;
 }
 
@@ -185,7 +187,8 @@
         job.acceptedAt = now;
         job.dueAt = now + work + Milliseconds(getPolicy(state, job).target_duration_ms);
     }
-    job.hasWaitingTasks = job.hasWaitingTasks || hasOpened;
+    if (hasOpened)
+        markWaiting(state, job);
     return hasOpened;
 }
 
@@ -201,7 +204,7 @@
     if (!isStepDone(step))
         return markDirty(state, job, now, false);
     updateOpenSteps(*job.spec, occurrence);
-    job.hasWaitingTasks = true;
+    markWaiting(state, job);
     job.blockedUntil = {};
     if (isOccurrenceDone(occurrence))
         ++job.doneOccurrences;
@@ -217,6 +220,7 @@
     job.endedAt = now;
     job.endedWallMs = wallMs;
     job.hasWaitingTasks = false;
+    state.ended.insert(job.id);
     markDirty(state, job, now, true);
 }
 
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -125,4 +125,10 @@
     state.dirty.insert(job.id);
 }
 
+void markWaiting(State& state, Job& job)
+{
+    job.hasWaitingTasks = true;
+    state.waiting.insert(job.id);
+}
+
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -230,13 +230,17 @@
 {
     if (state.isViewStale)
         return;
+    std::erase_if(state.waiting, [&](const GraphJobId& id) {
+        const auto& job = state.jobs.at(id);
+        return !job.hasWaitingTasks || hasEnded(job);
+    });
     std::vector<std::pair<Urgency, Job*>> waiting;
-    for (const auto& id : state.active) {
+    for (const auto& id : state.waiting) {
         auto& job = state.jobs.at(id);
-        if (job.hasWaitingTasks && job.blockedUntil <= now && !hasEnded(job) && !job.isCancelRequested)
+        if (job.blockedUntil <= now && !job.isCancelRequested)
             waiting.emplace_back(computeUrgency(state, job, now), &job);
     }
-    // Ties are broken by job id, the order of state.active.
+    // Ties are broken by job id, the order of state.waiting.
     std::ranges::stable_sort(waiting, {}, [](const auto& it) { return it.first; });
     Pass pass { OpenWorkers(state), {} };
     std::ranges::for_each(waiting, [&](const auto& it) { placeJob(state, *it.second, now, pass, orders); });
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -283,7 +283,7 @@
     unreserve(state, ref, run->worker);
     std::erase_if(task->runs, [&](const Run& it) { return it.number == ref.run; });
     if (!hasEnded(*job) && !task->isDone)
-        job->hasWaitingTasks = true;
+        markWaiting(state, *job);
     // Also stored for ended jobs, whose record shrinks with each run that is gone.
     markDirty(state, *job, now, false);
 }
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -55,11 +55,13 @@
 
 void retireJobs(State& state)
 {
-    std::erase_if(state.active, [&](const GraphJobId& id) {
+    std::erase_if(state.ended, [&](const GraphJobId& id) {
         auto& job = state.jobs.at(id);
-        const bool isOver = hasEnded(job) && job.committed == job.version && !job.isCommitInFlight && countRuns(job) == 0;
+        const bool isOver = job.committed == job.version && !job.isCommitInFlight && countRuns(job) == 0;
         if (!isOver)
             return false;
+        state.active.erase(id);
+        state.waiting.erase(id);
         state.dirty.erase(id);
         job.occurrences.clear();
         job.spec.reset();
--- a/libs/scheduler/tests/ChoiceTests.cpp
+++ b/libs/scheduler/tests/ChoiceTests.cpp
@@ -84,9 +84,11 @@
 
 void removeGangs(State& state)
 {
-    std::erase_if(state.active, [&](const GraphJobId& id) {
+    const auto hasGang = [&](const GraphJobId& id) {
         return std::ranges::any_of(state.jobs.at(id).spec->steps, [](const auto& step) { return step->gang; });
-    });
+    };
+    std::erase_if(state.active, hasGang);
+    std::erase_if(state.waiting, hasGang);
 }
 
 } // namespace
