Keep the estimates for filling tasks until the worker or the model changes

Cause: the expected pace and the expected loss of slack were computed for each filling task and worker, the pace twice, although they change only with the reservations of the worker and once a second with the model.

Change: each worker keeps the last estimates, by image and CPU.

Other batch tasks and the backlog are unchanged.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -226,6 +226,18 @@
     bool isOnProbation = false;
 };
 
+// What the interference model expects of an additional filling task on a worker.
+struct FillingEstimate {
+    ImageNumber image;
+    std::int64_t cpuMillis = 0;
+    // CPU capacity of the worker, in millicores.
+    std::int64_t capacity = 0;
+    // Pace, 0 to 1, that the mean slack of the serving images allows.
+    double pace = 1.0;
+    // Total slack that the serving tasks lose.
+    double lostSlack = 0;
+};
+
 struct Worker {
     WorkerId id;
     IncarnationTime born;
@@ -249,8 +261,10 @@
     std::map<ImageNumber, int> servingImages;
     // Declared CPU of the filling tasks by image, in millicores.
     std::map<ImageNumber, std::int64_t> fillingImages;
-    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, with the model version it is for.
+    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, and of the estimates for additional
+    // filling tasks, with the model version it is for.
     mutable std::map<ImageNumber, double> expectedLosses;
+    mutable std::vector<FillingEstimate> fillingEstimates;
     mutable unsigned expectedLossesVersion = 0;
     mutable bool areExpectedLossesStale = true;
     // Runs that may exist on the worker.
--- a/libs/scheduler/include/scheduler/Pacing.h
+++ b/libs/scheduler/include/scheduler/Pacing.h
@@ -11,9 +11,9 @@
 // Returns the slack that the serving image is expected to lose to the filling tasks of the worker at full pace.
 double expectedLoss(const State&, const Worker&, ImageNumber serving);
 
-// Returns the pace, 0 to 1, expected for an additional filling task of the image on the worker, based on the mean slack of the serving
-// images there.
-double expectedPace(const State&, const Worker&, ImageNumber filling, std::int64_t cpuMillis);
+// Returns the estimate for an additional filling task of the image on the worker. It stays valid until the reservations of the worker, its
+// capacity or the model change.
+FillingEstimate estimateFilling(const State&, const Worker&, ImageNumber filling, std::int64_t cpuMillis);
 
 // Returns true if, by the latest readings, an additional filling task of the image leaves enough slack to each serving task of the worker.
 bool hasSlackFor(const State&, const Worker&, ImageNumber filling, std::int64_t cpuMillis);
--- a/libs/scheduler/src/Pacing.cpp
+++ b/libs/scheduler/src/Pacing.cpp
@@ -46,6 +46,9 @@
     // Readings count only once a serving task is fully started, which it reports as 100 percent.
     constexpr int readyPercent = 100;
 
+    // Estimates kept for each worker. With more, the search would take longer than a new estimate.
+    constexpr std::size_t maxFillingEstimates = 16;
+
     struct Serving {
         ImageNumber image;
         Run* run = nullptr;
@@ -185,13 +188,13 @@
         worker.paces = std::move(paces);
     }
 
-} // namespace
-
-double expectedLoss(const State& state, const Worker& worker, ImageNumber serving)
-{
-    if (worker.areExpectedLossesStale || worker.expectedLossesVersion != state.interference.version()) {
+    void refreshExpectations(const State& state, const Worker& worker)
+    {
+        if (!worker.areExpectedLossesStale && worker.expectedLossesVersion == state.interference.version())
+            return;
         worker.areExpectedLossesStale = false;
         worker.expectedLossesVersion = state.interference.version();
+        worker.fillingEstimates.clear();
         worker.expectedLosses.clear();
         for (const auto& [image, count] : worker.servingImages) {
             double loss = 0;
@@ -200,23 +203,54 @@
             worker.expectedLosses[image] = loss;
         }
     }
+
+    double computeExpectedPace(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+    {
+        double pace = 1.0;
+        const auto use = static_cast<double>(cpuMillis) / getCpuCapacity(worker);
+        for (const auto& [serving, count] : worker.servingImages) {
+            const auto effect = state.interference.effect(serving, filling);
+            if (effect < relevantEffect)
+                continue;
+            const auto loss = expectedLoss(state, worker, serving) + effect * use;
+            const auto allowed = state.interference.ownSlack(serving) - targetMeanSlack;
+            pace = std::min(pace, loss <= 0 ? 1.0 : std::clamp(allowed / loss, 0.0, 1.0));
+        }
+        return pace;
+    }
+
+    double computeLostSlack(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+    {
+        double sum = 0;
+        for (const auto& [serving, count] : worker.servingImages)
+            sum += state.interference.effect(serving, filling) * count;
+        return sum * static_cast<double>(cpuMillis) / getCpuCapacity(worker);
+    }
+
+} // namespace
+
+double expectedLoss(const State& state, const Worker& worker, ImageNumber serving)
+{
+    refreshExpectations(state, worker);
     const auto it = worker.expectedLosses.find(serving);
     return it == worker.expectedLosses.end() ? 0 : it->second;
 }
 
-double expectedPace(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
+FillingEstimate estimateFilling(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
 {
-    double pace = 1.0;
-    const auto use = static_cast<double>(cpuMillis) / getCpuCapacity(worker);
-    for (const auto& [serving, count] : worker.servingImages) {
-        const auto effect = state.interference.effect(serving, filling);
-        if (effect < relevantEffect)
-            continue;
-        const auto loss = expectedLoss(state, worker, serving) + effect * use;
-        const auto allowed = state.interference.ownSlack(serving) - targetMeanSlack;
-        pace = std::min(pace, loss <= 0 ? 1.0 : std::clamp(allowed / loss, 0.0, 1.0));
-    }
-    return pace;
+    refreshExpectations(state, worker);
+    const auto known = std::ranges::find_if(worker.fillingEstimates, [&](const FillingEstimate& it) {
+        return it.image == filling && it.cpuMillis == cpuMillis && it.capacity == worker.capacity.cpuMillis;
+    });
+    if (known != worker.fillingEstimates.end())
+        return *known;
+    FillingEstimate estimate { filling, cpuMillis, worker.capacity.cpuMillis };
+    estimate.pace = computeExpectedPace(state, worker, filling, cpuMillis);
+    estimate.lostSlack = computeLostSlack(state, worker, filling, cpuMillis);
+    if (worker.fillingEstimates.size() >= maxFillingEstimates)
+        worker.fillingEstimates.clear();
+    worker.fillingEstimates.push_back(estimate);
+    return estimate;
 }
 
 bool hasSlackFor(const State& state, const Worker& worker, ImageNumber filling, std::int64_t cpuMillis)
--- a/libs/scheduler/src/RejectReason.cpp
+++ b/libs/scheduler/src/RejectReason.cpp
@@ -64,7 +64,7 @@
             return RejectReason::CpuHeadroom;
         if (!hasSlackFor(state, worker, image, step.cpu_millis))
             return RejectReason::LatencySlack;
-        return expectedPace(state, worker, image, step.cpu_millis) < minExpectedPace ? RejectReason::LowPace : RejectReason::None;
+        return estimateFilling(state, worker, image, step.cpu_millis).pace < minExpectedPace ? RejectReason::LowPace : RejectReason::None;
     }
 
     RejectReason checkPermit(const State& state, const Worker& worker, const StepRef& step, MonotonicTime now)
--- a/libs/scheduler/src/StepCandidates.cpp
+++ b/libs/scheduler/src/StepCandidates.cpp
@@ -20,14 +20,6 @@
     constexpr double recentFailureWeight = 2.0;
     constexpr double rackAffinityWeight = 1.5;
 
-    double computeInterference(const State& state, const Worker& worker, const schema::StepSpecT& step, ImageNumber image)
-    {
-        double sum = 0;
-        for (const auto& [serving, count] : worker.servingImages)
-            sum += state.interference.effect(serving, image) * count;
-        return sum * static_cast<double>(step.cpu_millis) / static_cast<double>(std::max<std::int64_t>(worker.capacity.cpuMillis, 1));
-    }
-
     // Prefers workers that serve the same image, then workers that serve none.
     double computeImageAffinity(const Worker& worker, ImageNumber image)
     {
@@ -54,10 +46,11 @@
 {
     const auto& step = getStepSpec(job, stepNumber);
     auto score = cpuHeadroom(worker, step);
-    if (step.fills)
-        score -= interferenceWeight * computeInterference(state, worker, step, job.images[stepNumber]);
-    if (step.fills)
-        score -= paceWeight * (1 - expectedPace(state, worker, job.images[stepNumber], step.cpu_millis));
+    if (step.fills) {
+        const auto estimate = estimateFilling(state, worker, job.images[stepNumber], step.cpu_millis);
+        score -= interferenceWeight * estimate.lostSlack;
+        score -= paceWeight * (1 - estimate.pace);
+    }
     if (step.target_ms > 0)
         score += computeImageAffinity(worker, job.images[stepNumber]);
     if (worker.health.avoidUntil > now)
--- a/libs/scheduler/tests/ChoiceTests.cpp
+++ b/libs/scheduler/tests/ChoiceTests.cpp
@@ -110,3 +110,39 @@
     }
     CHECK(count > 10 * fleetCount);
 }
+
+namespace {
+
+// Compares the estimates of all workers with those of copies that keep nothing from before.
+void checkEstimates(const State& state)
+{
+    for (const auto& [id, worker] : state.workers) {
+        auto fresh = worker;
+        fresh.areExpectedLossesStale = true;
+        for (std::uint32_t image = 0; image < 5; ++image) {
+            const auto kept = estimateFilling(state, worker, ImageNumber(image), 1800);
+            const auto expected = estimateFilling(state, fresh, ImageNumber(image), 1800);
+            REQUIRE(kept.pace == expected.pace);
+            REQUIRE(kept.lostSlack == expected.lostSlack);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("Estimates for filling tasks follow the reservations of the worker and the model", "[seeds]")
+{
+    // Guards against a filling task being placed by an estimate that is older than the last placement on the worker or the last refit.
+    for (std::uint64_t seed = 1; seed <= fleetCount / 10; ++seed) {
+        INFO("seed " << seed);
+        auto state = makeRandomFleet(seed);
+        checkEstimates(state);
+        Orders orders;
+        placeWaitingTasks(state, fleetTime, orders);
+        REQUIRE_FALSE(listPlacements(orders).empty());
+        checkEstimates(state);
+        state.interference.add({ ImageNumber(0), 0.5, 0, { { ImageNumber(1), 1.0 } } });
+        state.interference.refit();
+        checkEstimates(state);
+    }
+}
