--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -194,7 +194,7 @@
     MonotonicTime dirtySince;
     // Revision of the progress record in the store; 0 if there is none.
     Revision recordRevision;
-    // An open step of any occurrence may have tasks without a run. Updated at each placement.
+    // An open step of any occurrence may have tasks without a run. Set by markWaiting, updated at each placement.
     bool hasWaitingTasks = false;
     // Placement failed for lack of capacity and is not retried before this time.
     MonotonicTime blockedUntil;
@@ -232,6 +232,18 @@
     bool isOnProbation = false;
 };
 
+// What the interference model expects of an additional filling task on a worker.
+struct FillingEstimate {
+    ImageNumber image;
+    std::int64_t cpuMillis = 0;
+    // CPU capacity of the worker, in millicores.
+    std::int64_t capacity = 0;
+    // Pace, 0 to 1, that the mean slack of the serving images allows.
+    double pace = 1.0;
+    // Total slack that the serving tasks lose.
+    double lostSlack = 0;
+};
+
 struct Worker {
     WorkerId id;
     IncarnationTime born;
@@ -255,8 +267,10 @@
     std::map<ImageNumber, int> servingImages;
     // Declared CPU of the filling tasks by image, in millicores.
     std::map<ImageNumber, std::int64_t> fillingImages;
-    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, with the model version it is for.
+    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, and of the estimates for additional
+    // filling tasks, with the model version it is for.
     mutable std::map<ImageNumber, double> expectedLosses;
+    mutable std::vector<FillingEstimate> fillingEstimates;
     mutable unsigned expectedLossesVersion = 0;
     mutable bool areExpectedLossesStale = true;
     // Runs that may exist on the worker.
@@ -337,6 +351,10 @@
     std::unordered_map<GraphJobId, Job> jobs;
     // Jobs that have not ended, or whose runs have not all ended.
     std::set<GraphJobId> active;
+    // The active jobs that have ended.
+    std::set<GraphJobId> ended;
+    // The active jobs with hasWaitingTasks, and some that had it. Outdated entries are removed at each placement.
+    std::set<GraphJobId> waiting;
     // Jobs with progress to store.
     std::set<GraphJobId> dirty;
     // Permits of the steps whose queue has an adviser.
@@ -376,4 +394,7 @@
 // Records a change of the job's progress, to be stored with the next commit.
 void markDirty(State&, Job&, MonotonicTime now, bool isUrgent);
 
+// Records that the job may have tasks without a run.
+void markWaiting(State&, Job&);
+
 } // namespace kingcuploom::scheduler
