--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -1,7 +1,7 @@
 #include "node/Coordinator.h"
 
 #include "base/Log.h"
-#include "scheduler/Runs.h"
+#include "scheduler/RunStarts.h"
 
 #include <boost/asio/post.hpp>
 
--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Scheduler.h"
 
--- a/libs/scheduler/include/scheduler/Health.h
+++ b/libs/scheduler/include/scheduler/Health.h
@@ -14,6 +14,9 @@
 // Updates the worker's health after it did not take the start of a run, although it answers polls.
 void recordUntakenStart(State&, Worker&, MonotonicTime now, Orders&);
 
+// Lets other workers be preferred for the task.
+void preferOtherWorkers(Task&, const WorkerId&);
+
 // Returns true if the health of the worker allows a new task on it.
 bool isHealthy(const Worker&, MonotonicTime now);
 
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -3,6 +3,7 @@
 #include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Orders.h"
+#include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 
 namespace kingcuploom::scheduler {
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Fleet.h"
 
 #include "scheduler/Pacing.h"
+#include "scheduler/RunEnds.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -106,6 +106,12 @@
         quarantine(state, worker, "stalls", now, orders);
 }
 
+void preferOtherWorkers(Task& task, const WorkerId& id)
+{
+    if (std::ranges::find(task.failedOn, id) == task.failedOn.end())
+        task.failedOn.push_back(id);
+}
+
 void recordUntakenStart(State& state, Worker& worker, MonotonicTime now, Orders& orders)
 {
     worker.health.avoidUntil = now + failureAvoidTime;
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Jobs.h"
 
+#include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -4,6 +4,7 @@
 #include "StepCandidates.h"
 #include "scheduler/Advice.h"
 #include "scheduler/Pacing.h"
+#include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Urgency.h"
 
--- /dev/null
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -0,0 +1,237 @@
+#include "scheduler/RunStarts.h"
+
+#include "scheduler/Advice.h"
+#include "scheduler/Health.h"
+#include "scheduler/Pacing.h"
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Delay before a task is placed again after its start was refused, which avoids repeated orders on a busy fleet.
+    constexpr Milliseconds retryDelay { 50 };
+    // Delay before a worker that refused a start is used again.
+    constexpr Milliseconds refusalRetryDelay { 400 };
+    // Time for which a worker that did not accept an order is avoided.
+    constexpr Milliseconds unhealthyRetryDelay { 1500 };
+    // Number of times that an unanswered start is resent, on new connections, before the run is stopped.
+    constexpr unsigned maxStartRetries = 2;
+
+    // The worker did not take the start of the run. Without a mark it would stay empty, look best and be chosen again.
+    void markUntakenStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now, Orders& orders)
+    {
+        if (auto* task = findTask(state, ref.task))
+            preferOtherWorkers(*task, id);
+        if (auto* worker = findWorker(state, id))
+            recordUntakenStart(state, *worker, now, orders);
+    }
+
+    // The worker refused the order at once, so nothing is known to be wrong with its other tasks.
+    void markRefusedStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now)
+    {
+        if (auto* task = findTask(state, ref.task))
+            preferOtherWorkers(*task, id);
+        auto* worker = findWorker(state, id);
+        if (!worker)
+            return;
+        worker->health.avoidUntil = now + unhealthyRetryDelay;
+        // Excluded for a shorter time, because the score of the only worker near the data can be the best in spite of the refusals.
+        worker->refusedUntil = now + refusalRetryDelay;
+    }
+
+    void releaseRefusedRun(State& state, const RunRef& ref, MonotonicTime now, Milliseconds pause)
+    {
+        if (auto* task = findTask(state, ref.task))
+            task->notBefore = std::max(task->notBefore, now + pause);
+        releaseRun(state, ref, now);
+    }
+
+    // A start for which the view is too old, whose permit has expired, or whose lease may not be extended stays recorded and is sent once
+    // it can be. To place the task again instead could go on without end, because the next commit may return too late as well.
+    void holdStart(State& state, const RunRef& ref, Run& run)
+    {
+        run.phase = RunPhase::Recorded;
+        state.recordedRuns.push_back(ref);
+    }
+
+    enum class PermitStatus { Usable, Expired, Unobtainable };
+
+    PermitStatus checkPermit(const State& state, const Job& job, const TaskRef& ref, const Worker& worker, MonotonicTime now)
+    {
+        const auto step = toStepRef(ref);
+        if (!isAdvised(state, job) || findPermit(state, step, worker, now))
+            return PermitStatus::Usable;
+        const bool isOpen = worker.isListed && !worker.isDraining && !state.closedDomains.contains(worker.domain);
+        return isOpen && !isBarred(state, step, worker) ? PermitStatus::Expired : PermitStatus::Unobtainable;
+    }
+
+    // Accounts for the lease extension of the order that is about to be sent.
+    void extendLeaseEnd(State& state, const WorkerId& id, MonotonicTime now)
+    {
+        auto* worker = findWorker(state, id);
+        const auto longest = state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100;
+        if (worker)
+            worker->leaseEnd = std::max(worker->leaseEnd, now + longest);
+    }
+
+    // Returns the workers of recorded runs whose permit has expired, by step.
+    std::map<StepRef, std::vector<WorkerId>> findExpiredPermits(State& state, MonotonicTime now)
+    {
+        std::map<StepRef, std::vector<WorkerId>> expired;
+        for (const auto& ref : state.recordedRuns) {
+            const auto* run = findRun(state, ref);
+            if (!run || run->phase != RunPhase::Recorded)
+                continue;
+            const auto& worker = *findWorker(state, run->worker);
+            if (checkPermit(state, *findJob(state, ref.task.job), ref.task, worker, now) == PermitStatus::Expired)
+                expired[toStepRef(ref.task)].push_back(run->worker);
+        }
+        return expired;
+    }
+
+} // namespace
+
+void onCommitted(State& state, const GraphJobId& id, ProgressVersion version, Revision recordRevision)
+{
+    auto* job = findJob(state, id);
+    if (!job)
+        return;
+    job->committed = version;
+    job->recordRevision = recordRevision;
+    job->isCommitInFlight = false;
+    for (auto& [number, occurrence] : job->occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                for (auto& run : tasks[index].runs) {
+                    if (run.phase != RunPhase::Recording || run.recordedInVersion > version)
+                        continue;
+                    holdStart(state, { { id, number, step, index }, run.number }, run);
+                }
+            }
+        }
+    }
+}
+
+void sendRecordedStarts(State& state, MonotonicTime now, Orders& orders)
+{
+    if (state.isViewStale)
+        return;
+    const auto unpermitted = findExpiredPermits(state, now);
+    for (const auto& ref : std::exchange(state.recordedRuns, {})) {
+        auto* run = findRun(state, ref);
+        if (!run || run->phase != RunPhase::Recorded)
+            continue;
+        const auto& job = *findJob(state, ref.task.job);
+        const auto permit = checkPermit(state, job, ref.task, *findWorker(state, run->worker), now);
+        if (permit == PermitStatus::Unobtainable) {
+            stopRun(state, ref, StopReason::UncertainStart, now, orders);
+            continue;
+        }
+        // The members of a gang wait for each other, so that none waits at its worker.
+        const bool isGangHeld = getStepSpec(job, ref.task.step).gang && unpermitted.contains(toStepRef(ref.task));
+        if (permit == PermitStatus::Expired || isGangHeld) {
+            state.recordedRuns.push_back(ref);
+            continue;
+        }
+        run->phase = RunPhase::Starting;
+        run->orderedAt = now;
+        run->isOrderInFlight = true;
+        extendLeaseEnd(state, run->worker, now);
+        orders.emplace_back(StartOrder { ref, run->worker, run->startRetries > 0 });
+    }
+    for (const auto& [step, workers] : unpermitted)
+        requestAdvice(state, step, workers, now, orders);
+}
+
+void resendStart(State& state, const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
+{
+    if (run.startRetries >= maxStartRetries) {
+        markUntakenStart(state, ref, run.worker, now, orders);
+        return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+    }
+    ++run.startRetries;
+    run.orderedAt = now;
+    run.isOrderInFlight = true;
+    orders.emplace_back(StartOrder { ref, run.worker, true });
+}
+
+void onStartResult(State& state, const RunRef& ref, StartResult result, MonotonicTime now, Orders& orders)
+{
+    auto* run = findRun(state, ref);
+    if (!run)
+        return;
+    run->isOrderInFlight = false;
+    auto* worker = findWorker(state, run->worker);
+    if (run->phase != RunPhase::Starting) {
+        // A stop was ordered in the meantime; its result decides the state of the run.
+        if (result == StartResult::Started)
+            run->startConfirmedAt = now;
+        return;
+    }
+    if (auto* task = findTask(state, ref.task))
+        task->lastStartResult = toString(result);
+    if (result != StartResult::Started)
+        orders.emplace_back(Decision { "start_refused", toString(ref), run->worker, toString(result), {}, run->startRetries });
+    switch (result) {
+    case StartResult::Started: {
+        run->phase = RunPhase::Running;
+        run->startConfirmedAt = now;
+        run->percentChangedAt = now;
+        if (worker) {
+            worker->health.untakenStarts = 0;
+            worker->lastAnswerAt = now;
+            // Tasks start at full pace, so a lower one must be sent.
+            sendPaces(state, *worker, orders);
+        }
+        auto* job = findJob(state, ref.task.job);
+        if (job->state == schema::JobState::Queued)
+            job->state = schema::JobState::Running;
+        return;
+    }
+    case StartResult::StaleView:
+    case StartResult::PermitExpired:
+    case StartResult::StoreSilent:
+        return holdStart(state, ref, *run);
+    case StartResult::NoTicket:
+        dropPermit(state, toStepRef(ref.task), run->worker);
+        if (run->startRetries > 0)
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+    case StartResult::NoRoom:
+        if (worker)
+            worker->refusedUntil = now + refusalRetryDelay;
+        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+    case StartResult::Unhealthy:
+    case StartResult::NotSent:
+        markRefusedStart(state, ref, run->worker, now);
+        // An earlier send of the order may have arrived.
+        if (run->startRetries > 0)
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+    case StartResult::WorkerLeaving:
+        if (worker)
+            worker->health.avoidUntil = now + unhealthyRetryDelay;
+        // An earlier send of the order may have arrived.
+        if (run->startRetries > 0)
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+    case StartResult::Refused:
+        markUntakenStart(state, ref, run->worker, now, orders);
+        return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+    case StartResult::Fenced:
+    case StartResult::Superseded:
+    case StartResult::Late:
+        markRefusedStart(state, ref, run->worker, now);
+        if (run->startRetries > 0)
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
+        return releaseRefusedRun(state, ref, now, retryDelay);
+    case StartResult::NoAnswer:
+        return resendStart(state, ref, *run, now, orders);
+    }
+}
+
+} // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -4,6 +4,7 @@
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 #include "scheduler/StandingTasks.h"
 
--- a/libs/scheduler/tests/ChoiceTests.cpp
+++ b/libs/scheduler/tests/ChoiceTests.cpp
@@ -3,6 +3,7 @@
 #include "StepCandidates.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Urgency.h"
 
--- a/libs/scheduler/tests/CommitOrderTests.cpp
+++ b/libs/scheduler/tests/CommitOrderTests.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerWorld.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 
 #include <catch2/catch.hpp>
--- a/libs/scheduler/tests/InterferenceTests.cpp
+++ b/libs/scheduler/tests/InterferenceTests.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerWorld.h"
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
+#include "scheduler/Reservations.h"
 
 #include <catch2/catch.hpp>
 
--- a/libs/scheduler/tests/RandomFleet.cpp
+++ b/libs/scheduler/tests/RandomFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 
 #include <random>
