--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -162,8 +162,10 @@
     {
         WorkerRuns runs;
         for (const auto& [id, worker] : state.workers) {
-            if (now > worker.leaseEnd)
-                std::ranges::for_each(worker.runs, [&](const RunRef& ref) { runs.emplace(id, ref); });
+            if (now <= worker.leaseEnd)
+                continue;
+            for (const auto& ref : worker.runs)
+                runs.emplace(id, ref);
         }
         const auto isWanted
             = [&](const Job& job, const schema::StepSpecT&, const Task& task, const Run& run) { return needsOrder(job, task, run, now); };
