--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -1,7 +1,7 @@
 #include "node/Coordinator.h"
 
 #include "base/Log.h"
-#include "scheduler/Runs.h"
+#include "scheduler/RunStarts.h"
 
 #include <boost/asio/post.hpp>
 
@@ -261,7 +261,7 @@
 
 void Coordinator::runSchedulingPass()
 {
-    const bool wasViewStale = std::exchange(m_state.isViewStale, !isViewFresh());
+    const bool wasViewStale = std::exchange(m_state.isViewStale, !isViewFresh() || !mayExtendLeases());
     if (wasViewStale != m_state.isViewStale) {
         const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_workersCurrentAt);
         logEvent(LogLevel::Warning, m_state.isViewStale ? "starts_held" : "starts_released",
@@ -293,11 +293,13 @@
 
 // Without this check, a daemon that is short of CPU time or whose watch is stalled would start tasks on workers that have since announced
 // that they are draining.
-bool Coordinator::isViewFresh() const
+bool Coordinator::isViewFresh() const { return viewTimeLeft() > Milliseconds(0); }
+
+Milliseconds Coordinator::viewTimeLeft() const
 {
-    const auto now = m_clock.now();
-    return now - m_workersCurrentAt < m_state.parameters.workerViewLimit
-        && now - m_operators.snapshot()->confirmedAt < m_state.parameters.operatorViewLimit;
+    const auto staleAt = std::min(m_workersCurrentAt + m_state.parameters.workerViewLimit,
+        m_operators.snapshot()->confirmedAt + m_state.parameters.operatorViewLimit);
+    return std::chrono::duration_cast<Milliseconds>(staleAt - m_clock.now());
 }
 
 std::int64_t Coordinator::wallMs() const { return std::chrono::duration_cast<Milliseconds>(m_clock.wallNow().time_since_epoch()).count(); }
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -4,6 +4,7 @@
 #include "node/Coordinator.h"
 #include "node/JobService.h"
 #include "node/Leadership.h"
+#include "node/NodeMetrics.h"
 #include "node/OperatorView.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -55,15 +56,55 @@
     }
 };
 
+// Share of a core of the smallest nodes of a site.
+constexpr double smallShare = 0.069;
+
+// Rate of the clocks in tests of handovers.
+constexpr int handoverClockRate = 5;
+// Time after which a handover between two nodes would have been requested and completed, with clocks of that rate.
+constexpr Milliseconds handoverTime { 1000 };
+
+std::string makeLeaderRecord(const std::string& node, std::uint64_t incarnation, double processorShare = 0)
+{
+    schema::LeaderRecordT record;
+    record.node = node;
+    record.incarnation = incarnation;
+    record.processor_share = processorShare;
+    return encodeRecord<schema::LeaderRecord>(record);
+}
+
+// Runs faster than real time by a factor, for tests of rules that wait for seconds.
+class ScaledClock final : public Clock {
+public:
+    explicit ScaledClock(int rate)
+        : m_rate(rate)
+    {
+    }
+
+    MonotonicTime now() const override { return m_start + (std::chrono::steady_clock::now() - m_start) * m_rate; }
+    WallTime wallNow() const override { return std::chrono::system_clock::now(); }
+
+private:
+    int m_rate;
+    MonotonicTime m_start = std::chrono::steady_clock::now();
+};
+
 struct LeaderFixture {
-    explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1)
-        : leadership(loop, store, clock, { name, incarnation, 0.5, incarnation },
-            { [this](Revision newTerm) { term = newTerm; }, [this] { term.reset(); } })
+    explicit LeaderFixture(boost::asio::io_context& loop, FakeAsyncStore& store, const std::string& name, std::uint64_t incarnation = 1,
+        double processorShare = 0.5, int clockRate = 1)
+        : clock(clockRate)
+        , leadership(loop, store, clock, { name, incarnation, processorShare, incarnation },
+              { [this](Revision newTerm) {
+                   term = newTerm;
+                   ++elections;
+               },
+                  [this] { term.reset(); } })
     {
     }
 
-    BootClock clock;
+    ScaledClock clock;
     std::optional<Revision> term;
+    int elections = 0;
     Leadership leadership;
 };
 
@@ -80,9 +121,56 @@
         configuration.version = std::stoll(value);
         return OperatorDocument(configuration);
     };
+    formats.workerPrefix = "worker/";
+    formats.parseWorkerId = [](const std::string& key) { return scheduler::WorkerId(key); };
+    formats.decodeWorker = [](const std::string& key, const std::string&) -> Expected<scheduler::WorkerEntry, FormatError> {
+        scheduler::WorkerEntry entry;
+        entry.id = scheduler::WorkerId(key);
+        entry.born = scheduler::IncarnationTime(1);
+        entry.service = ServiceName("service");
+        entry.address = Address("10.0.0.1:1");
+        entry.capacity = { 1000, 1000, 0 };
+        return entry;
+    };
     return formats;
 }
 
+// Workers that answer polls at once and confirm each start; keeps the start messages.
+class FakeWorkerCalls final : public WorkerCalls {
+public:
+    explicit FakeWorkerCalls(boost::asio::io_context& loop)
+        : m_loop(loop)
+    {
+    }
+
+    std::vector<StartMessage> starts;
+
+    void start(const WorkerTarget&, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
+    {
+        starts.push_back(message);
+        boost::asio::post(m_loop, [callback] { callback(scheduler::StartResult::Started); });
+    }
+
+    void stop(const WorkerTarget&, const scheduler::RunRef&, Revision, std::function<void(scheduler::StopResult)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(scheduler::StopResult::Accepted); });
+    }
+
+    void poll(const WorkerTarget&, const PollMessage&,
+        std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(scheduler::PollReport { scheduler::IncarnationTime(1), 1, {}, {} }); });
+    }
+
+    void pace(const WorkerTarget&, const scheduler::RunRef&, int, Revision, std::function<void(bool)> callback) override
+    {
+        boost::asio::post(m_loop, [callback] { callback(true); });
+    }
+
+private:
+    boost::asio::io_context& m_loop;
+};
+
 } // namespace
 
 TEST_CASE("A submission whose response was lost is retried and stored once")
@@ -180,15 +268,107 @@
     CHECK(store.find(Leadership::termKey)->revision == *leader.term);
 }
 
+TEST_CASE("A node that lost a vacancy waits its usual delay at the next one")
+{
+    // Guards against a small node that takes the leadership before a larger one, because the time for its retry has passed meanwhile.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    store.conflictDelay = Milliseconds(20);
+    bool isOtherFirst = false;
+    store.onGrant = [&] {
+        if (!std::exchange(isOtherFirst, true))
+            store.put(Leadership::holderKey, makeLeaderRecord("other", 1));
+    };
+    LeaderFixture small(loop, store, "small", 1, smallShare);
+    LeaderFixture large(loop, store, "large", 2);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return store.commits == 1; }));
+    large.leadership.start();
+    loop.restart();
+    loop.run_for(Milliseconds(1000));
+    REQUIRE(!small.term);
+    store.remove(Leadership::holderKey);
+    REQUIRE(runUntil(loop, [&] { return small.term || large.term; }));
+    CHECK(large.term);
+}
+
+TEST_CASE("A small node that restarts and leads again hands over to a larger node")
+{
+    // Guards against a leader with too small a share of a core that stays the leader over its restart.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    store.put(Leadership::holderKey, makeLeaderRecord("small", 1));
+    LeaderFixture small(loop, store, "small", 2, smallShare, handoverClockRate);
+    LeaderFixture large(loop, store, "large", 3, 0.5, handoverClockRate);
+    small.leadership.start();
+    large.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return large.term.has_value(); }));
+    CHECK(!small.term);
+}
+
+TEST_CASE("A leader with a small share of a core hands over to a node with a much larger one, and only once")
+{
+    // Guards against a leader that is too small to schedule and keeps the leadership as long as its process lives.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture small(loop, store, "small", 1, smallShare, handoverClockRate);
+    LeaderFixture larger(loop, store, "larger", 2, smallShare * 2, handoverClockRate);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return small.term.has_value(); }));
+    const auto earlier = *small.term;
+    larger.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return larger.term.has_value(); }));
+    CHECK(!small.term);
+    const auto term = *larger.term;
+    CHECK(term > earlier);
+    loop.restart();
+    loop.run_for(handoverTime);
+    CHECK(larger.term == term);
+    CHECK(!small.term);
+}
+
+TEST_CASE("A leader that handed over leads again if the other node has gone")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture small(loop, store, "small", 1, smallShare, handoverClockRate);
+    small.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return small.term.has_value(); }));
+    const auto earlier = *small.term;
+    store.put(Leadership::handoverKey, makeLeaderRecord("gone", 1, 0.5));
+    REQUIRE(runUntil(loop, [&] { return small.term && *small.term > earlier; }));
+    // It did not lead again in the term that it had released.
+    CHECK(small.elections == 2);
+}
+
+TEST_CASE("A leader keeps the leadership if no other node has a much larger share of a core, or its own share is unknown")
+{
+    // Guards against repeated changes of the leader between nodes alike, and against requests to a node of an earlier version.
+    const auto [share, candidateShare] = GENERATE(table<double, double>({ { 0.3, 0.3 }, { 0.3, 0.5 }, { 0.5, 4.0 }, { 0.0, 0.5 } }));
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    LeaderFixture leader(loop, store, "leader", 1, share, handoverClockRate);
+    LeaderFixture candidate(loop, store, "candidate", 2, candidateShare, handoverClockRate);
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    const auto term = leader.term;
+    candidate.leadership.start();
+    loop.restart();
+    loop.run_for(handoverTime);
+    CHECK(leader.term == term);
+    CHECK(!store.find(Leadership::handoverKey));
+}
+
 TEST_CASE("A restarted node takes over from its earlier process without waiting for the lease to expire")
 {
+    const auto processorShare = GENERATE(smallShare, 0.5);
     boost::asio::io_context loop { 1 };
     FakeAsyncStore store(loop);
-    auto before = std::make_unique<LeaderFixture>(loop, store, "first", 1);
+    auto before = std::make_unique<LeaderFixture>(loop, store, "first", 1, processorShare);
     before->leadership.start();
     REQUIRE(runUntil(loop, [&] { return before->term.has_value(); }));
     const auto earlier = *before->term;
-    LeaderFixture after(loop, store, "first", 2);
+    LeaderFixture after(loop, store, "first", 2, processorShare);
     after.leadership.start();
     REQUIRE(runUntil(loop, [&] { return after.term.has_value(); }));
     CHECK(*after.term > earlier);
@@ -208,6 +388,51 @@
     CHECK(leader.term == term);
 }
 
+TEST_CASE("A start is handed over with the time that is left until the older view reaches its limit")
+{
+    // Guards against starts that are sent after their view has become too old, on a connection that came up late (rules DRAIN, EVAC).
+    const Milliseconds workerViewLimit(GENERATE(900, 1300));
+    const Milliseconds operatorViewLimit(GENERATE(800, 3500));
+    constexpr Milliseconds maxViewAge { 200 };
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    FakeWorkerCalls calls(loop);
+    ManualClock clock;
+    NodeMetrics metrics;
+    const auto formats = makeFormats();
+    store.put("op/config", "1");
+    store.put("worker/1", "");
+    auto spec = makeSpec("a");
+    spec.policy->service = "service";
+    spec.steps.push_back(std::make_unique<schema::StepSpecT>());
+    store.put(jobKey(scheduler::GraphJobId("a")), encodeJob(spec));
+    OperatorView operators(loop, store, clock, formats, [] {});
+    std::optional<Revision> term;
+    Leadership leadership(loop, store, clock, { "node", 1, 0.5, 1 }, { [&](Revision it) { term = it; }, [] {} });
+    const auto isReachedAfter = [&](const std::function<bool()>& condition) {
+        return runUntil(loop, [&] {
+            clock.advance(Milliseconds(2));
+            return condition();
+        });
+    };
+    operators.start();
+    leadership.start();
+    REQUIRE(isReachedAfter([&] { return term && operators.snapshot()->configuration; }));
+    scheduler::Parameters parameters;
+    parameters.workerViewLimit = workerViewLimit;
+    parameters.operatorViewLimit = operatorViewLimit;
+    const PlatformServices services { store, calls, nullptr, nullptr, clock, metrics };
+    const auto coordinator = std::make_shared<Coordinator>(loop, services, formats, operators, leadership, parameters, *term);
+    coordinator->start();
+    REQUIRE(isReachedAfter([&] { return !calls.starts.empty(); }));
+    const auto limit = std::min(workerViewLimit, operatorViewLimit);
+    REQUIRE(calls.starts[0].maxSendDelay);
+    CHECK(*calls.starts[0].maxSendDelay <= limit);
+    CHECK(*calls.starts[0].maxSendDelay > limit - maxViewAge);
+    coordinator->stop();
+    operators.stop();
+}
+
 TEST_CASE("The configuration never reverts to an older version, and closed domains stay correct after the watch history is lost")
 {
     boost::asio::io_context loop { 1 };
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,7 +69,8 @@
 enum class RunPhase {
     // Waiting for the commit that records it.
     Recording,
-    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough.
+    // Recorded; its start order waits until the view of draining workers and closed domains is recent enough and, for a queue with an
+    // adviser, a permit is valid.
     Recorded,
     // The start order was sent; the worker has not confirmed it.
     Starting,
@@ -106,6 +107,8 @@
     MonotonicTime orderedAt;
     std::optional<MonotonicTime> startConfirmedAt;
     std::optional<MonotonicTime> stopConfirmedAt;
+    // For a run that is being stopped: latest time at which the worker's incarnation can carry out one of its start orders.
+    std::optional<MonotonicTime> startsExpireAt;
     // The worker has reported the run in its current incarnation.
     bool isListed = false;
     unsigned startRetries = 0;
@@ -137,6 +140,7 @@
     std::vector<Run> runs;
     // The task is not placed before this time.
     MonotonicTime notBefore;
+    // Workers on which the task has failed or that did not take its start. Others are preferred.
     std::vector<WorkerId> failedOn;
     // For a standing task: time since which no worker has executed it, and its last run number at that time.
     std::optional<MonotonicTime> idleSince;
@@ -190,7 +194,7 @@
     MonotonicTime dirtySince;
     // Revision of the progress record in the store; 0 if there is none.
     Revision recordRevision;
-    // An open step of any occurrence may have tasks without a run. Updated at each placement.
+    // An open step of any occurrence may have tasks without a run. Set by markWaiting, updated at each placement.
     bool hasWaitingTasks = false;
     // Placement failed for lack of capacity and is not retried before this time.
     MonotonicTime blockedUntil;
@@ -203,7 +207,10 @@
 
     Resources& operator+=(const Resources&);
     Resources& operator-=(const Resources&);
-    bool fitsInto(const Resources&) const;
+    bool fitsInto(const Resources& room) const
+    {
+        return cpuMillis <= room.cpuMillis && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
 };
 
 struct UncommittedEnd {
@@ -215,6 +222,8 @@
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
+    // Consecutive runs whose start the worker did not take.
+    unsigned untakenStarts = 0;
     MonotonicTime avoidUntil;
     MonotonicTime quarantinedUntil;
     unsigned quarantines = 0;
@@ -223,6 +232,18 @@
     bool isOnProbation = false;
 };
 
+// What the interference model expects of an additional filling task on a worker.
+struct FillingEstimate {
+    ImageNumber image;
+    std::int64_t cpuMillis = 0;
+    // CPU capacity of the worker, in millicores.
+    std::int64_t capacity = 0;
+    // Pace, 0 to 1, that the mean slack of the serving images allows.
+    double pace = 1.0;
+    // Total slack that the serving tasks lose.
+    double lostSlack = 0;
+};
+
 struct Worker {
     WorkerId id;
     IncarnationTime born;
@@ -246,8 +267,10 @@
     std::map<ImageNumber, int> servingImages;
     // Declared CPU of the filling tasks by image, in millicores.
     std::map<ImageNumber, std::int64_t> fillingImages;
-    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, with the model version it is for.
+    // Cache of the slack that each serving image is expected to lose to the filling tasks at full pace, and of the estimates for additional
+    // filling tasks, with the model version it is for.
     mutable std::map<ImageNumber, double> expectedLosses;
+    mutable std::vector<FillingEstimate> fillingEstimates;
     mutable unsigned expectedLossesVersion = 0;
     mutable bool areExpectedLossesStale = true;
     // Runs that may exist on the worker.
@@ -262,6 +285,8 @@
     // The worker has answered an order that carried the fencing token of this term.
     bool hasSeenFence = false;
     MonotonicTime lastAnswerAt;
+    // Time at which the last answer to a poll was read. Only these answers contain the progress of runs.
+    MonotonicTime reportedAt;
     unsigned missedPolls = 0;
     // Consecutive inventories without the worker.
     unsigned missedInventories = 0;
@@ -280,8 +305,8 @@
     // Minimum slack of each serving image at the last control interval. Each filling task placed since then has reduced it by the loss that
     // the task is expected to cause.
     std::map<ImageNumber, double> minSlacks;
-    // No task is placed on the worker before this time, because it refused a start for lack of capacity.
-    MonotonicTime capacityRefusedUntil;
+    // No task is placed on the worker before this time, because it refused a start.
+    MonotonicTime refusedUntil;
 };
 
 // The adviser's permission to run a step on a worker.
@@ -321,11 +346,15 @@
     std::map<QueueName, schema::QueuePolicyT> queues;
     std::set<FailureDomain> closedDomains;
     std::map<WorkerId, Worker> workers;
-    // The view of draining workers and closed domains is too stale for starts.
+    // The view of draining workers and closed domains is too stale for starts, or the store has been silent for too long to extend leases.
     bool isViewStale = false;
     std::unordered_map<GraphJobId, Job> jobs;
     // Jobs that have not ended, or whose runs have not all ended.
     std::set<GraphJobId> active;
+    // The active jobs that have ended.
+    std::set<GraphJobId> ended;
+    // The active jobs with hasWaitingTasks, and some that had it. Outdated entries are removed at each placement.
+    std::set<GraphJobId> waiting;
     // Jobs with progress to store.
     std::set<GraphJobId> dirty;
     // Permits of the steps whose queue has an adviser.
@@ -340,11 +369,20 @@
     std::vector<RunRef> recordedRuns;
 };
 
+// A run with its task and its job.
+struct RunEntry {
+    Job* job = nullptr;
+    Task* task = nullptr;
+    Run* run = nullptr;
+};
+
 const schema::QueuePolicyT& getPolicy(const State&, const Job&);
 const schema::StepSpecT& getStepSpec(const Job&, std::uint32_t step);
 // Returns null if the job, the occurrence or the task is unknown.
 Task* findTask(State&, const TaskRef&);
 Run* findRun(State&, const RunRef&);
+// Returns null pointers if the run is unknown.
+RunEntry findRunEntry(State&, const RunRef&);
 Job* findJob(State&, const GraphJobId&);
 Worker* findWorker(State&, const WorkerId&);
 bool hasEnded(const Job&);
@@ -356,4 +394,7 @@
 // Records a change of the job's progress, to be stored with the next commit.
 void markDirty(State&, Job&, MonotonicTime now, bool isUrgent);
 
+// Records that the job may have tasks without a run.
+void markWaiting(State&, Job&);
+
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Fleet.h"
 
 #include "scheduler/Pacing.h"
+#include "scheduler/RunEnds.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
 
     void processListedRun(State& state, Worker& worker, const ListedRun& listed, MonotonicTime now, Orders& orders)
     {
-        auto* run = findRun(state, listed.run);
+        const auto [job, task, run] = findRunEntry(state, listed.run);
         if (!run || run->worker != worker.id) {
             orders.emplace_back(Decision { "run_unknown", toString(listed.run), worker.id, "stopped", {}, listed.percent });
             orders.emplace_back(StopOrder { listed.run, worker.id, StopReason::JobEnded });
@@ -79,7 +80,7 @@
             if (run->phase == RunPhase::Unverified)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
-            auto* job = findJob(state, listed.run.task.job);
+            worker.health.untakenStarts = 0;
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
         }
@@ -90,11 +91,24 @@
         run->percent = listed.percent;
         run->figure = listed.figure;
         run->checkpoint = listed.checkpoint;
-        const bool isUnneeded = hasEnded(*findJob(state, listed.run.task.job)) || findTask(state, listed.run.task)->isDone;
+        const bool isUnneeded = hasEnded(*job) || task->isDone;
         if (isUnneeded)
             stopRun(state, listed.run, StopReason::JobEnded, now, orders);
     }
 
+    // Returns the recorded runs of the worker that its report does not list.
+    std::vector<RunRef> findMissingRuns(const Worker& worker, const PollReport& report)
+    {
+        std::vector<const RunRef*> listed;
+        std::ranges::transform(report.running, std::back_inserter(listed), [](const ListedRun& it) { return &it.run; });
+        const auto dereference = [](const RunRef* it) -> const RunRef& { return *it; };
+        std::ranges::sort(listed, {}, dereference);
+        std::vector<RunRef> missing;
+        std::ranges::copy_if(worker.runs, std::back_inserter(missing),
+            [&](const RunRef& ref) { return !std::ranges::binary_search(listed, ref, {}, dereference); });
+        return missing;
+    }
+
     // Handles a recorded run that the worker's report does not list.
     void processMissingRun(State& state, Worker& worker, const RunRef& ref, MonotonicTime sentAt, MonotonicTime now, Orders& orders)
     {
@@ -105,7 +119,9 @@
         const bool wasStopped = run->stopConfirmedAt && *run->stopConfirmedAt < sentAt;
         // The fencing token of this term prevents late start orders of earlier leaders from being executed.
         const bool isOfEarlierTerm = run->phase == RunPhase::Unverified;
-        const bool isGone = run->phase == RunPhase::Stopping ? wasStopped : (wasStarted || isOfEarlierTerm);
+        // A worker that answers polls, but no stops, refuses starts after their deadline.
+        const bool areStartsOver = run->startsExpireAt && *run->startsExpireAt < sentAt && run->born == worker.born;
+        const bool isGone = run->phase == RunPhase::Stopping ? (wasStopped || areStartsOver) : (wasStarted || isOfEarlierTerm);
         if (!isGone)
             return;
         orders.emplace_back(Decision { "run_missing", toString(ref), worker.id, isOfEarlierTerm ? "never_started" : "not_listed",
@@ -115,9 +131,18 @@
 
     bool needsPacing(const Worker& worker) { return worker.servingCpuMillis > 0 && worker.fillingCpuMillis > 0; }
 
-    Milliseconds getPollWait(const Worker& worker)
+    // The stop of a run that never began produces no end, so a poll would wait in vain for one while the task cannot be placed again.
+    bool hasStoppedUnlistedRun(State& state, const Worker& worker)
+    {
+        return std::ranges::any_of(worker.runs, [&](const RunRef& ref) {
+            const auto* run = findRun(state, ref);
+            return run && run->phase == RunPhase::Stopping && run->stopConfirmedAt && !run->isListed;
+        });
+    }
+
+    Milliseconds getPollWait(State& state, const Worker& worker)
     {
-        if (worker.runs.empty())
+        if (worker.runs.empty() || hasStoppedUnlistedRun(state, worker))
             return Milliseconds(0);
         return needsPacing(worker) ? pacingPollWait : pollWait;
     }
@@ -191,23 +216,18 @@
         worker->leaseEnd = std::max(worker->leaseEnd, now + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100);
     worker->hasSeenFence = true;
     worker->lastAnswerAt = now;
+    worker->reportedAt = now;
     worker->missedPolls = 0;
     worker->clockMs = report.clockMs;
     worker->clockAt = now;
-    const auto before = worker->runs;
     for (const auto& end : report.ends) {
         if (end.number > worker->lastSeenEnd)
             onEnd(state, *worker, end, now, wallMs, orders);
     }
-    std::set<RunRef> listed;
-    for (const auto& run : report.running) {
-        listed.insert(run.run);
+    for (const auto& run : report.running)
         processListedRun(state, *worker, run, now, orders);
-    }
-    for (const auto& ref : before) {
-        if (!listed.contains(ref) && worker->runs.contains(ref))
-            processMissingRun(state, *worker, ref, sentAt, now, orders);
-    }
+    for (const auto& ref : findMissingRuns(*worker, report))
+        processMissingRun(state, *worker, ref, sentAt, now, orders);
     controlPace(state, *worker, now, orders);
     const auto pause = worker->uncommittedEnds.empty() ? pollDelay : uncommittedPollDelay;
     worker->nextPollAt = now + (worker->runs.empty() && worker->uncommittedEnds.empty() ? idlePollInterval : pause);
@@ -261,7 +281,7 @@
         advanceEndCursor(state, worker);
         worker.isPollInFlight = true;
         const bool isFirst = !worker.hasSeenFence || worker.missedPolls > 0;
-        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(worker) });
+        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker) });
     }
 }
 
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Health.h"
 
+#include "JobRuns.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
@@ -13,10 +14,12 @@
     // Number of stalled runs without a successful task in between.
     constexpr unsigned stallsToQuarantine = 2;
     constexpr Milliseconds quarantineTime { 3000 };
+    // Number of consecutive runs whose start was not taken.
+    constexpr unsigned untakenStartsToQuarantine = 2;
     constexpr unsigned maxQuarantineDoublings = 2;
     // After each failure or stall that counts against a worker, other workers are preferred for this time.
     constexpr Milliseconds failureAvoidTime { 1500 };
-    // Limits quarantines: if more workers appear to fail, the cause is likely not the workers.
+    // Limits the quarantines in a service: if more of its workers appear to fail, the cause is likely not the workers.
     constexpr std::size_t maxQuarantinePercent = 34;
 
     // A run is stalled if its percentage has not changed for this time plus this fraction of its estimate.
@@ -26,17 +29,25 @@
     // for this time.
     constexpr Milliseconds standingStallTimeout { 4000 };
 
-    std::size_t countQuarantined(const State& state, MonotonicTime now)
+    bool mayQuarantineOneMore(const State& state, const ServiceName& service, MonotonicTime now)
     {
-        return static_cast<std::size_t>(
-            std::ranges::count_if(state.workers, [&](const auto& entry) { return entry.second.health.quarantinedUntil > now; }));
+        std::size_t size = 0;
+        std::size_t quarantined = 0;
+        for (const auto& [id, worker] : state.workers) {
+            if (worker.service != service)
+                continue;
+            ++size;
+            quarantined += worker.health.quarantinedUntil > now ? 1 : 0;
+        }
+        const std::size_t limit = std::max<std::size_t>(size * maxQuarantinePercent / 100, size > 1 ? 1 : 0);
+        return quarantined < limit;
     }
 
     void quarantine(State& state, Worker& worker, const char* reason, MonotonicTime now, Orders& orders)
     {
         if (worker.health.quarantinedUntil > now)
             return;
-        if ((countQuarantined(state, now) + 1) * 100 > state.workers.size() * maxQuarantinePercent)
+        if (!mayQuarantineOneMore(state, worker.service, now))
             return;
         const auto doublings = std::min(worker.health.quarantines++, maxQuarantineDoublings);
         worker.health.quarantinedUntil = now + quarantineTime * (1 << doublings);
@@ -44,15 +55,17 @@
         const auto failures = static_cast<std::int64_t>(worker.health.recentFailures.size());
         worker.health.recentFailures.clear();
         worker.health.stalls = 0;
+        worker.health.untakenStarts = 0;
         orders.emplace_back(Decision { "worker_quarantined", {}, worker.id, reason, {}, failures });
     }
 
-    bool isStalled(const schema::StepSpecT& step, const Run& run, MonotonicTime now)
+    // Measured up to the last reading: a leader that is late does not know whether the percentage has changed since.
+    bool isStalled(const schema::StepSpecT& step, const Run& run, MonotonicTime reportedAt)
     {
         // A task with a low pace may legitimately make no visible progress.
         if (run.phase != RunPhase::Running || !run.isListed || run.percent >= 100 || run.pace < 50 || run.confirmedPace < 50)
             return false;
-        const auto unchangedFor = now - run.percentChangedAt;
+        const auto unchangedFor = reportedAt - run.percentChangedAt;
         if (step.long_running)
             return unchangedFor > standingStallTimeout;
         const auto share = std::chrono::duration_cast<Milliseconds>(Milliseconds(step.estimate_ms) * stallShare);
@@ -68,6 +81,7 @@
     if (kind == EndKind::Done) {
         health.recentFailures.clear();
         health.stalls = 0;
+        health.untakenStarts = 0;
         health.quarantines = 0;
         health.isOnProbation = false;
         return;
@@ -92,28 +106,43 @@
         quarantine(state, worker, "stalls", now, orders);
 }
 
+void preferOtherWorkers(Task& task, const WorkerId& id)
+{
+    if (std::ranges::find(task.failedOn, id) == task.failedOn.end())
+        task.failedOn.push_back(id);
+}
+
+void recordUntakenStart(State& state, Worker& worker, MonotonicTime now, Orders& orders)
+{
+    worker.health.avoidUntil = now + failureAvoidTime;
+    const unsigned needed = worker.health.isOnProbation ? 1 : untakenStartsToQuarantine;
+    if (++worker.health.untakenStarts >= needed)
+        quarantine(state, worker, "starts", now, orders);
+}
+
 bool isHealthy(const Worker& worker, MonotonicTime now)
 {
-    if (worker.health.quarantinedUntil > now || worker.capacityRefusedUntil > now)
+    if (worker.health.quarantinedUntil > now || worker.refusedUntil > now)
         return false;
     return !worker.health.isOnProbation || std::ranges::none_of(worker.runs, [&](const RunRef&) { return worker.health.avoidUntil > now; });
 }
 
 void checkProgress(State& state, MonotonicTime now, Orders& orders)
 {
-    for (auto& [id, worker] : state.workers) {
+    WorkerRuns stalled;
+    // No reading is newer than now, so this finds all candidates; the age of the reading is checked below.
+    const auto isWanted = [&](const Job&, const schema::StepSpecT& step, const Task&, const Run& run) { return isStalled(step, run, now); };
+    collectRuns(state, isWanted, stalled);
+    for (const auto& [id, ref] : stalled) {
+        auto& worker = state.workers.at(id);
         // Without a recent answer the readings are outdated, which does not mean that the runs are stalled.
         if (now - worker.lastAnswerAt > stallTimeout)
             continue;
-        const auto refs = worker.runs;
-        for (const auto& ref : refs) {
-            const auto* run = findRun(state, ref);
-            const auto* job = findJob(state, ref.task.job);
-            if (!run || !job || !isStalled(getStepSpec(*job, ref.task.step), *run, now))
-                continue;
-            recordStall(state, worker, ref, now, orders);
-            stopRun(state, ref, StopReason::NoProgress, now, orders);
-        }
+        const auto* run = findRun(state, ref);
+        if (!run || !isStalled(getStepSpec(*findJob(state, ref.task.job), ref.task.step), *run, worker.reportedAt))
+            continue;
+        recordStall(state, worker, ref, now, orders);
+        stopRun(state, ref, StopReason::NoProgress, now, orders);
     }
 }
 
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Jobs.h"
 
+#include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
@@ -67,8 +68,10 @@
     {
         job.state = progress.state;
         job.endedWallMs = progress.ended_at_ms;
-        if (hasEnded(job))
+        if (hasEnded(job)) {
             job.endedAt = now;
+            state.ended.insert(job.id);
+        }
         for (const auto& record : progress.tasks) {
             while (job.openedOccurrences <= record->occurrence)
                 job.occurrences.emplace(job.openedOccurrences++, makeOccurrence(*job.spec));
@@ -154,7 +157,7 @@
     if (progress)
         restoreProgress(state, job, *progress, now);
     openDueOccurrences(state, job, now, wallMs);
-    job.hasWaitingTasks = true;
+    markWaiting(state, job);
     return &job;
 }
 
@@ -185,7 +188,8 @@
         job.acceptedAt = now;
         job.dueAt = now + work + Milliseconds(getPolicy(state, job).target_duration_ms);
     }
-    job.hasWaitingTasks = job.hasWaitingTasks || hasOpened;
+    if (hasOpened)
+        markWaiting(state, job);
     return hasOpened;
 }
 
@@ -201,7 +205,7 @@
     if (!isStepDone(step))
         return markDirty(state, job, now, false);
     updateOpenSteps(*job.spec, occurrence);
-    job.hasWaitingTasks = true;
+    markWaiting(state, job);
     job.blockedUntil = {};
     if (isOccurrenceDone(occurrence))
         ++job.doneOccurrences;
@@ -217,6 +221,7 @@
     job.endedAt = now;
     job.endedWallMs = wallMs;
     job.hasWaitingTasks = false;
+    state.ended.insert(job.id);
     markDirty(state, job, now, true);
 }
 
@@ -241,6 +246,19 @@
     return progress;
 }
 
+bool isCommitDue(const Job& job, MonotonicTime now, Milliseconds batchDelay) { return job.isUrgent || now - job.dirtySince >= batchDelay; }
+
+std::vector<GraphJobId> orderCommits(const State& state, MonotonicTime now, Milliseconds batchDelay)
+{
+    std::vector<GraphJobId> order;
+    std::ranges::copy_if(state.dirty, std::back_inserter(order), [&](const GraphJobId& id) { return !state.jobs.at(id).isCommitInFlight; });
+    std::ranges::stable_sort(order, {}, [&](const GraphJobId& id) {
+        const auto& job = state.jobs.at(id);
+        return std::pair(!isCommitDue(job, now, batchDelay), job.dirtySince);
+    });
+    return order;
+}
+
 std::size_t pendingJobs(const State& state, const QueueName& queue, MonotonicTime, std::int64_t wallMs)
 {
     return static_cast<std::size_t>(std::ranges::count_if(state.active, [&](const GraphJobId& id) {
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -9,7 +9,6 @@
     constexpr std::int64_t workerCpuMillis = 4000;
     constexpr std::int64_t workerMemoryMb = 16'000;
     constexpr Milliseconds restartDelay { 900 };
-    constexpr Milliseconds adviceValidity { 3000 };
 
 } // namespace
 
@@ -39,6 +38,7 @@
         step->image = options.image;
         step->required_label = options.label;
         step->gang = options.isGang;
+        step->affinity_rack = options.affinityRack;
         if (i > 0)
             step->after.push_back(i - 1);
         spec->steps.push_back(std::move(step));
@@ -130,7 +130,7 @@
         entry.service = ServiceName("service");
         entry.address = Address("10.0.0.1:1");
         entry.domain = FailureDomain("north");
-        entry.rack = Rack("r1");
+        entry.rack = worker.rack;
         entry.capacity = { workerCpuMillis, workerMemoryMb, 0 };
         onWorkerListed(m_state, entry, m_now, m_orders);
     }
@@ -152,6 +152,18 @@
     worker.born = IncarnationTime(worker.born.value() + 1);
 }
 
+void SchedulerWorld::setStartFault(unsigned index, std::optional<StartResult> fault) { m_workers[index].startFault = fault; }
+
+void SchedulerWorld::setReportDelay(Milliseconds delay) { m_reportDelay = delay; }
+
+void SchedulerWorld::setFrozen(unsigned index, bool isFrozen) { m_workers[index].isFrozen = isFrozen; }
+
+void SchedulerWorld::setIgnoresStops(unsigned index, bool ignoresStops) { m_workers[index].ignoresStops = ignoresStops; }
+
+void SchedulerWorld::setStoreSilent(bool isSilent) { m_isStoreSilent = isSilent; }
+
+void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
+
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
 
 void SchedulerWorld::deliverDue()
@@ -189,7 +201,7 @@
             const bool isStanding = execution.total.count() == 0;
             if (worker.leaseEnd < m_now)
                 over.emplace_back(ref, EndKind::Lapsed);
-            else if (!isStanding && (execution.remaining -= time) <= Milliseconds(0))
+            else if (!isStanding && !worker.isFrozen && (execution.remaining -= time) <= Milliseconds(0))
                 over.emplace_back(ref, execution.willFail ? EndKind::Failed : EndKind::Done);
         }
         for (const auto& [ref, kind] : over)
@@ -269,6 +281,10 @@
     };
     if (m_state.isViewStale)
         return post(m_now, [answer] { answer(StartResult::StaleView); });
+    if (m_isStoreSilent)
+        return post(m_now, [answer] { answer(StartResult::StoreSilent); });
+    if (isAdvised(m_state, *findJob(m_state, order.run.task.job)) && !findPermit(m_state, toStepRef(order.run.task), *worker, m_now))
+        return post(m_now, [answer] { answer(StartResult::PermitExpired); });
     if (!until)
         return post(m_now, [answer] { answer(StartResult::NotSent); });
     const auto leaseEnd = m_now + m_state.parameters.lease;
@@ -280,7 +296,9 @@
     post(at, [=, this, born = worker->born] {
         auto& target = findFakeWorker(order.worker);
         auto result = StartResult::NoAnswer;
-        if (isReachable(target) && !isOrderLost && target.born == born)
+        if (target.startFault)
+            result = *target.startFault;
+        else if (isReachable(target) && !isOrderLost && target.born == born)
             start(target, order.run, fence, leaseEnd, result);
         if (isAnswerLost || result == StartResult::NoAnswer || m_now - at > timeout)
             return;
@@ -306,7 +324,7 @@
     };
     post(randomArrivalTime(), [=, this] {
         auto& target = findFakeWorker(order.worker);
-        if (!isReachable(target) || isOrderLost || (m_rules.ordersCarryFence && fence < target.fence))
+        if (!isReachable(target) || isOrderLost || target.ignoresStops || (m_rules.ordersCarryFence && fence < target.fence))
             return post(m_now + Milliseconds(300), [=] { answer(StopResult::NoAnswer); });
         target.fence = std::max(target.fence, fence);
         if (target.running.contains(order.run))
@@ -370,7 +388,7 @@
             return;
         if (isLost)
             return post(sentAt + timeout, fail);
-        post(m_now + Milliseconds(2), [=, this] {
+        post(m_now + Milliseconds(2) + m_reportDelay, [=, this] {
             if (generation == m_leaderGeneration)
                 onPollReport(m_state, order.worker, report, sentAt, m_now, wallMs(), m_orders);
         });
@@ -383,12 +401,14 @@
     std::ranges::transform(indices, std::inserter(m_allowedWorkers, m_allowedWorkers.end()), &SchedulerWorld::workerId);
 }
 
+void SchedulerWorld::setAdviceValidity(Milliseconds validity) { m_adviceValidity = validity; }
+
 void SchedulerWorld::send(const AdviceOrder& order)
 {
     ++m_adviceRequests;
     const auto generation = m_leaderGeneration;
     const auto sentAt = m_now;
-    Expected<Advice, AdviceError> answer = Advice { {}, adviceValidity };
+    Expected<Advice, AdviceError> answer = Advice { {}, m_adviceValidity };
     for (const auto& id : order.workers) {
         if (m_allowedWorkers.contains(id))
             answer->good.emplace_back(id, "ticket");
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -5,6 +5,8 @@
 #include "base/Random.h"
 
 #include <functional>
+#include <optional>
+#include <thread>
 
 namespace kingcuploom::soak {
 
@@ -18,6 +20,8 @@
     void run(Milliseconds);
     // Ends all faults, and resumes or restarts all processes. Returns false if a process could not be started.
     bool finish();
+    // Injects nothing for the given duration, in which the bounds of times without faults are checked.
+    void stayCalm(Milliseconds);
 
     std::size_t faultCount() const { return m_faultCount; }
 
@@ -37,6 +41,11 @@
     void terminateDaemon(unsigned);
     void pauseDaemon(unsigned);
     void sendHangup(unsigned);
+    // Stops and resumes the daemon every 100 ms, so that it is short of processor time.
+    void throttleDaemon(unsigned);
+    void throttleSomeDaemons();
+    // The daemon that wrote last that it leads, if one does. A paused or cut off daemon may still be named after it was replaced.
+    std::optional<unsigned> findLeader();
     void killExecutor(unsigned);
     void pauseExecutor(unsigned);
     void pauseStore();
@@ -50,6 +59,8 @@
     Cluster& m_cluster;
     InvariantChecker& m_checker;
     Random m_random;
+    // Separate, so that the other faults of a seed are drawn in the same order as without throttling.
+    Random m_throttleRandom;
     std::vector<Recovery> m_recoveries;
     std::vector<bool> m_hasDaemonFault;
     std::vector<MonotonicTime> m_daemonStartedAt;
