--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -33,7 +33,7 @@
     Milliseconds timeout { 1000 };
     // Writing of the request must begin within this time, which includes waiting for a connection. Empty: no limit but the timeout.
     std::optional<Milliseconds> maxSendDelay;
-    // A call whose earlier try had no answer; it gets a new connection.
+    // A call whose earlier try had no answer; it gets a connection on which nothing has been sent.
     bool isRepeat = false;
 };
 
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -122,7 +122,8 @@
     void armSweep();
     void sweep();
     void dropLateWaiting(SteadyTime now);
-    std::shared_ptr<Connection> takeIdle(Peer&);
+    // Returns null if there is no usable idle connection. With isRepeat, only connections without a request so far are usable.
+    std::shared_ptr<Connection> takeIdle(Peer&, bool isRepeat);
     // Makes room for a new connection by closing an idle one.
     void closeOneIdle(Peer&);
 
@@ -158,6 +159,8 @@
     tcp::socket socket;
     bool isConnected = false;
     bool isSending = false;
+    // A request has been sent on this connection.
+    bool hasSent = false;
     beast::flat_buffer buffer;
     BeastRequest request;
     std::optional<BeastParser> parser;
@@ -166,7 +169,7 @@
     SteadyTime sendDeadline;
     SteadyTime idleSince;
     SteadyTime connectDeadline;
-    // Past its deadline at the last sweep.
+    // Past its deadline at the last sweep, and not sent since.
     bool isOverdue = false;
 };
 
@@ -214,13 +217,13 @@
 {
     // Checked here as well as in the sweep, because a late loop can run this handler before the sweep that is due.
     if (isTooLateToSend(std::chrono::steady_clock::now())) {
-        asio::post(socket.get_executor(), [self = shared_from_this()] {
-            if (self->callback)
-                self->finish(makeUnexpected(AsyncCallError::NotSentInTime), true);
-        });
+        asio::post(
+            socket.get_executor(), [self = shared_from_this()] { self->finish(makeUnexpected(AsyncCallError::NotSentInTime), true); });
         return;
     }
     isSending = true;
+    hasSent = true;
+    isOverdue = false;
     beast::http::async_write(socket, request, [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
         if (!self->callback)
             return;
@@ -256,11 +259,13 @@
 
 void Connection::finish(Expected<Response, AsyncCallError> result, bool isReusable)
 {
+    // The call may have been ended while this was posted.
+    if (!callback)
+        return;
     const auto done = std::exchange(callback, nullptr);
     if (const auto state = owner.lock())
         state->release(shared_from_this(), isReusable);
-    if (done)
-        done(std::move(result));
+    done(std::move(result));
 }
 
 void AsyncHttpClient::State::call(AsyncCall call, AsyncCallback callback)
@@ -280,7 +285,7 @@
 
 void AsyncHttpClient::State::start(Peer& peer, const AsyncCall& call, AsyncCallback callback)
 {
-    auto connection = call.isRepeat ? nullptr : takeIdle(peer);
+    auto connection = takeIdle(peer, call.isRepeat);
     if (!connection) {
         if (peer.busyCount + peer.idle.size() >= limits.maxConnections)
             closeOneIdle(peer);
@@ -300,12 +305,16 @@
     peer.idle.erase(peer.idle.begin());
 }
 
-std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(Peer& peer)
+std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(Peer& peer, bool isRepeat)
 {
     const auto oldest = std::chrono::steady_clock::now() - limits.idleTimeout;
-    while (!peer.idle.empty()) {
-        auto connection = std::move(peer.idle.back());
-        peer.idle.pop_back();
+    const auto isUsable = [isRepeat](const auto& it) { return !isRepeat || !it->hasSent; };
+    for (;;) {
+        const auto it = std::find_if(peer.idle.rbegin(), peer.idle.rend(), isUsable);
+        if (it == peer.idle.rend())
+            return nullptr;
+        const auto connection = *it;
+        peer.idle.erase(std::next(it).base());
         // Readable while idle: closed by the peer, or out of step.
         char byte = 0;
         const bool isQuiet = recv(connection->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
@@ -314,7 +323,6 @@
         boost::system::error_code ec;
         ec = connection->socket.close(ec);
     }
-    return nullptr;
 }
 
 void AsyncHttpClient::State::release(const std::shared_ptr<Connection>& connection, bool isReusable)
@@ -370,7 +378,9 @@
     // the response may have arrived in time.
     std::ranges::copy_if(busy, std::back_inserter(late), [&](const auto& it) {
         const bool isLate = it->isLate(now);
-        return it->isTooLateToSend(now) || (std::exchange(it->isOverdue, isLate) && isLate);
+        // A connection that came up too late for its call ends it by itself and is kept for the next one.
+        const bool cannotSend = !it->isConnected && it->isTooLateToSend(now);
+        return cannotSend || (std::exchange(it->isOverdue, isLate) && isLate);
     });
     for (const auto& connection : late)
         connection->finish(makeUnexpected(connection->errorAt(now)), false);
--- a/libs/http/tests/AsyncHttpClientTests.cpp
+++ b/libs/http/tests/AsyncHttpClientTests.cpp
@@ -139,3 +139,28 @@
     REQUIRE(result.has_value());
     CHECK(result->status == 200);
 }
+
+TEST_CASE("a call that was too late for its send limit leaves its connection for the next one")
+{
+    // Guards against opening a new connection at each try on a loop that is always late: the call then is never sent.
+    const bool isRepeat = GENERATE(false, true);
+    constexpr Milliseconds sendLimit { 50 };
+    CountingServer peer(Milliseconds(0));
+    boost::asio::io_context loop { 1 };
+    AsyncHttpClient client(loop);
+    auto call = makeCall(peer.server.url(), testTimeout);
+    call.maxSendDelay = sendLimit;
+    call.isRepeat = isRepeat;
+    bool isAnswered = false;
+    for (int i = 0; i < 3 && !isAnswered; ++i) {
+        std::optional<CallResult> result;
+        // The call is made within a handler that then takes longer than the send limit.
+        boost::asio::post(loop, [&] {
+            client.call(call, [&](const CallResult& it) { result = it; });
+            std::this_thread::sleep_for(sendLimit * 2);
+        });
+        isAnswered = await(loop, result).has_value();
+    }
+    CHECK(isAnswered);
+    CHECK(peer.requests == 1);
+}
