Send a stop again to the next incarnation of its worker

Callers would see: a task that runs twice. Three unanswered starts, a stop that the worker confirms, a restart of the worker under the same id: its next report lists nothing, and the run was released on the confirmation of the earlier incarnation. A start that is carried out seconds late then reaches an incarnation that has seen no stop.

The confirmation is now dropped with the incarnation, and the stop sent again.

--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -10,6 +10,8 @@
 // Emits a stop order for the run. A run whose start was never sent is released at once.
 void stopRun(State&, const RunRef&, StopReason, MonotonicTime now, Orders&);
 void stopJobRuns(State&, const Job&, StopReason, MonotonicTime now, Orders&);
+// Sends the stop order of a run in phase Stopping again.
+void resendStop(const RunRef&, Run&, MonotonicTime now, Orders&);
 void onStopResult(State&, const RunRef&, StopResult, MonotonicTime now);
 
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -57,8 +57,15 @@
             if (!run || run->born == born)
                 continue;
             const bool isOfEarlierIncarnation = run->isListed || run->phase == RunPhase::Unverified || run->born != earlier;
-            if (isOfEarlierIncarnation || isUnsent(*run))
+            if (isOfEarlierIncarnation || isUnsent(*run)) {
                 releaseRun(state, ref, now);
+                continue;
+            }
+            // A stop that the earlier incarnation confirmed does not keep a delayed start from the new one.
+            run->stopConfirmedAt.reset();
+            run->startsExpireAt.reset();
+            if (run->phase == RunPhase::Stopping)
+                resendStop(ref, *run, now, orders);
             else
                 stopRun(state, ref, StopReason::UncertainStart, now, orders);
         }
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -20,13 +20,6 @@
         releaseRun(state, ref, now);
     }
 
-    void resendStop(const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
-    {
-        run.orderedAt = now;
-        run.isOrderInFlight = true;
-        orders.emplace_back(StopOrder { ref, run.worker, run.stopReason });
-    }
-
     // Returns true if checkRun would order something for the run while its lease lasts.
     bool needsOrder(const Job& job, const Task& task, const Run& run, MonotonicTime now)
     {
@@ -110,6 +103,13 @@
     resendStop(ref, *run, now, orders);
 }
 
+void resendStop(const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
+{
+    run.orderedAt = now;
+    run.isOrderInFlight = true;
+    orders.emplace_back(StopOrder { ref, run.worker, run.stopReason });
+}
+
 void stopJobRuns(State& state, const Job& job, StopReason reason, MonotonicTime now, Orders& orders)
 {
     std::vector<RunRef> refs;
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerWorld.h"
 #include "scheduler/Fleet.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace kingcuploom;
@@ -128,3 +129,27 @@
     CHECK(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(200)));
     CHECK(findTask(world.state(), { GraphJobId("a"), 0, 0, 0 })->lastRun == RunNumber(1));
 }
+
+TEST_CASE("A stop that an earlier incarnation of the worker has confirmed is sent again to the next one")
+{
+    // Guards against a delayed start that the next incarnation carries out after the run has been released: the task runs twice.
+    SchedulerWorld world(1);
+    world.run(Milliseconds(200));
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true }));
+    auto& state = world.state();
+    const TaskRef task { GraphJobId("a"), 0, 0, 0 };
+    const auto isSent = [&] { return !findTask(state, task)->runs.empty() && findTask(state, task)->runs[0].phase == RunPhase::Starting; };
+    REQUIRE(world.runUntil(isSent, Milliseconds(1000)));
+    const RunRef ref { task, findTask(state, task)->lastRun };
+    const MonotonicTime now(std::chrono::hours(2));
+    const auto worker = SchedulerWorld::workerId(0);
+    Orders orders;
+    stopRun(state, ref, StopReason::UncertainStart, now, orders);
+    onStopResult(state, ref, StopResult::Accepted, now);
+    orders.clear();
+    const IncarnationTime born(state.workers.at(worker).born.value() + 1);
+    onPollReport(state, worker, { .born = born, .clockMs = 1 }, now + Milliseconds(10), now + Milliseconds(20), 0, orders);
+    REQUIRE(findRun(state, ref));
+    CHECK(!findRun(state, ref)->stopConfirmedAt);
+    CHECK(std::ranges::any_of(orders, [](const Order& it) { return std::holds_alternative<StopOrder>(it); }));
+}
