Check at sending that the worker of a held start is still open, for all members of a gang

Callers would see: gang members that wait for the others and end alone, when one member's worker began to drain while the starts were held; and a start sent to a worker that has stopped answering since its placement, which also delayed the lapse of the worker's other runs, because the lease was counted as extended at each try.

A start whose worker isn't open any more is given up before it is sent, with the whole gang, and the lease is counted as extended only where the order is sent. The exploration of interleavings also runs with held starts now.

--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/RunStarts.h"
 
+#include "RejectReason.h"
 #include "scheduler/Advice.h"
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
@@ -57,39 +58,61 @@
         state.recordedRuns.push_back(ref);
     }
 
-    enum class PermitStatus { Usable, Expired, Unobtainable };
+    // In order of precedence for a gang, whose members are sent together.
+    enum class Readiness {
+        Ready,
+        WaitsForPermit,
+        // The worker is not open any more, or the adviser has denied it.
+        Obsolete,
+    };
 
-    PermitStatus checkPermit(const State& state, const Job& job, const TaskRef& ref, const Worker& worker, MonotonicTime now)
-    {
-        const auto step = toStepRef(ref);
-        if (!isAdvised(state, job) || findPermit(state, step, worker, now))
-            return PermitStatus::Usable;
-        const bool isOpen = worker.isListed && !worker.isDraining && !state.closedDomains.contains(worker.domain);
-        return isOpen && !isBarred(state, step, worker) ? PermitStatus::Expired : PermitStatus::Unobtainable;
-    }
+    struct RecordedStart {
+        RunRef ref;
+        Readiness readiness = Readiness::Ready;
+    };
 
-    // Accounts for the lease extension of the order that is about to be sent.
-    void extendLeaseEnd(State& state, const WorkerId& id, MonotonicTime now)
+    Readiness checkReadiness(const State& state, const Job& job, const RunRef& ref, const Worker& worker, MonotonicTime now)
     {
-        auto* worker = findWorker(state, id);
-        const auto longest = state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100;
-        if (worker)
-            worker->leaseEnd = std::max(worker->leaseEnd, now + longest);
+        const auto step = toStepRef(ref.task);
+        if (!isOpen(state, worker))
+            return Readiness::Obsolete;
+        if (!isAdvised(state, job) || findPermit(state, step, worker, now))
+            return Readiness::Ready;
+        return isBarred(state, step, worker) ? Readiness::Obsolete : Readiness::WaitsForPermit;
     }
 
-    // Returns the workers of recorded runs whose permit has expired, by step.
-    std::map<StepRef, std::vector<WorkerId>> findExpiredPermits(State& state, MonotonicTime now)
+    // Empties state.recordedRuns. A member of a gang is as ready as the least ready member, because one that is started alone ends.
+    std::vector<RecordedStart> takeRecordedStarts(State& state, MonotonicTime now)
     {
-        std::map<StepRef, std::vector<WorkerId>> expired;
-        for (const auto& ref : state.recordedRuns) {
+        std::vector<RecordedStart> starts;
+        std::map<StepRef, Readiness> gangs;
+        for (const auto& ref : std::exchange(state.recordedRuns, {})) {
             const auto* run = findRun(state, ref);
             if (!run || run->phase != RunPhase::Recorded)
                 continue;
-            const auto& worker = *findWorker(state, run->worker);
-            if (checkPermit(state, *findJob(state, ref.task.job), ref.task, worker, now) == PermitStatus::Expired)
-                expired[toStepRef(ref.task)].push_back(run->worker);
+            const auto& job = *findJob(state, ref.task.job);
+            const auto readiness = checkReadiness(state, job, ref, *findWorker(state, run->worker), now);
+            starts.push_back({ ref, readiness });
+            if (getStepSpec(job, ref.task.step).gang)
+                gangs[toStepRef(ref.task)] = std::max(gangs[toStepRef(ref.task)], readiness);
+        }
+        for (auto& start : starts) {
+            if (const auto it = gangs.find(toStepRef(start.ref.task)); it != gangs.end())
+                start.readiness = it->second;
         }
-        return expired;
+        return starts;
+    }
+
+    void requestMissingPermits(State& state, const std::vector<RecordedStart>& starts, MonotonicTime now, Orders& orders)
+    {
+        std::map<StepRef, std::set<WorkerId>> workers;
+        for (const auto& [ref, readiness] : starts) {
+            const auto* run = readiness == Readiness::WaitsForPermit ? findRun(state, ref) : nullptr;
+            if (run && !findPermit(state, toStepRef(ref.task), *findWorker(state, run->worker), now))
+                workers[toStepRef(ref.task)].insert(run->worker);
+        }
+        for (const auto& [step, ids] : workers)
+            requestAdvice(state, step, { ids.begin(), ids.end() }, now, orders);
     }
 
 } // namespace
@@ -120,31 +143,23 @@
 {
     if (state.isViewStale)
         return;
-    const auto unpermitted = findExpiredPermits(state, now);
-    for (const auto& ref : std::exchange(state.recordedRuns, {})) {
-        auto* run = findRun(state, ref);
-        if (!run || run->phase != RunPhase::Recorded)
-            continue;
-        const auto& job = *findJob(state, ref.task.job);
-        const auto permit = checkPermit(state, job, ref.task, *findWorker(state, run->worker), now);
-        if (permit == PermitStatus::Unobtainable) {
+    const auto starts = takeRecordedStarts(state, now);
+    for (const auto& [ref, readiness] : starts) {
+        if (readiness == Readiness::Obsolete) {
             stopRun(state, ref, StopReason::UncertainStart, now, orders);
             continue;
         }
-        // The members of a gang wait for each other, so that none waits at its worker.
-        const bool isGangHeld = getStepSpec(job, ref.task.step).gang && unpermitted.contains(toStepRef(ref.task));
-        if (permit == PermitStatus::Expired || isGangHeld) {
+        if (readiness == Readiness::WaitsForPermit) {
             state.recordedRuns.push_back(ref);
             continue;
         }
+        auto* run = findRun(state, ref);
         run->phase = RunPhase::Starting;
         run->orderedAt = now;
         run->isOrderInFlight = true;
-        extendLeaseEnd(state, run->worker, now);
         orders.emplace_back(StartOrder { ref, run->worker, run->startRetries > 0 });
     }
-    for (const auto& [step, workers] : unpermitted)
-        requestAdvice(state, step, workers, now, orders);
+    requestMissingPermits(state, starts, now, orders);
 }
 
 void resendStart(State& state, const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
--- a/libs/scheduler/tests/ExplorationTests.cpp
+++ b/libs/scheduler/tests/ExplorationTests.cpp
@@ -25,9 +25,11 @@
 }
 
 // Returns the violations in one world of 12 simulated seconds.
-std::vector<std::string> findViolations(std::uint64_t seed, SafetyRules guards = {})
+std::vector<std::string> findViolations(std::uint64_t seed, SafetyRules guards = {}, const std::optional<ViewRefresh>& view = {})
 {
     SchedulerWorld world(4, seed, allFaults(), guards);
+    if (view)
+        world.setViewRefresh(*view);
     for (int i = 0; i < 6; ++i) {
         JobOptions options;
         options.counts = i % 2 == 0 ? std::vector<std::uint32_t> { 2, 2 } : std::vector<std::uint32_t> { 3 };
@@ -69,6 +71,17 @@
     }
 }
 
+TEST_CASE("No interleaving violates an invariant while starts are held for an old view", "[seeds]")
+{
+    const ViewRefresh view { Milliseconds(900), Milliseconds(300), Milliseconds(700) };
+    const auto count = getWorldCount(200);
+    for (std::uint64_t seed = 1; seed <= count; ++seed) {
+        const auto violations = findViolations(seed, {}, view);
+        INFO("seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+        REQUIRE(violations.empty());
+    }
+}
+
 TEST_CASE("The exploration detects each safety rule that is disabled", "[seeds]")
 {
     constexpr std::uint64_t limit = 4000;
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -131,6 +131,7 @@
         entry.address = Address("10.0.0.1:1");
         entry.domain = FailureDomain("north");
         entry.rack = worker.rack;
+        entry.isDraining = worker.isDraining;
         entry.capacity = { workerCpuMillis, workerMemoryMb, 0 };
         onWorkerListed(m_state, entry, m_now, m_orders);
     }
@@ -164,6 +165,8 @@
 
 void SchedulerWorld::setRack(unsigned index, const Rack& rack) { m_workers[index].rack = rack; }
 
+void SchedulerWorld::drainWorker(unsigned index) { m_workers[index].isDraining = true; }
+
 void SchedulerWorld::partitionWorker(unsigned index, Milliseconds time) { m_workers[index].partitionedUntil = m_now + time; }
 
 void SchedulerWorld::deliverDue()
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -72,6 +72,8 @@
     void changeLeader();
     void crashWorker(unsigned);
     void partitionWorker(unsigned, Milliseconds);
+    // The worker announces that it leaves.
+    void drainWorker(unsigned);
 
     void setViewRefresh(const ViewRefresh&);
     // Time that each commit takes; by default a few milliseconds, and 300 ms for one in ten.
@@ -117,6 +119,7 @@
         Rack rack { "r1" };
         IncarnationTime born { 1 };
         bool isUp = true;
+        bool isDraining = false;
         MonotonicTime partitionedUntil;
         MonotonicTime upAt;
         std::map<RunRef, Execution> running;
--- a/libs/scheduler/tests/StaleViewTests.cpp
+++ b/libs/scheduler/tests/StaleViewTests.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerWorld.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace kingcuploom;
@@ -37,3 +38,50 @@
         CHECK(restartsWithin(limit, commitTime));
     }
 }
+
+TEST_CASE("A gang is not started in part if one of its workers drains while its starts are held")
+{
+    // Guards against members that hold room until they end without the others.
+    SchedulerWorld world(3);
+    world.run(Milliseconds(200));
+    world.setViewRefresh(slowRefresh);
+    world.setCommitTime(Milliseconds(1900));
+    world.submit(makeJobSpec("a", { .counts = { 2 }, .cpuMillis = 3000, .estimateMs = 2000, .isGang = true }));
+    const auto isHeld = [&] { return world.state().recordedRuns.size() == 2; };
+    REQUIRE(world.runUntil(isHeld, Milliseconds(4000)));
+    const auto& worker = findRun(world.state(), world.state().recordedRuns.front())->worker;
+    for (unsigned i = 0; i < 3; ++i) {
+        if (SchedulerWorld::workerId(i) == worker)
+            world.drainWorker(i);
+    }
+    bool isSplit = false;
+    world.runUntil(
+        [&] {
+            isSplit = isSplit || world.startCount() == 1;
+            return world.startCount() == 2;
+        },
+        Milliseconds(10'000));
+    CHECK_FALSE(isSplit);
+    CHECK(world.startCount() == 2);
+    CHECK(world.violations().empty());
+}
+
+TEST_CASE("A start that is withheld when it is sent stays recorded with its number")
+{
+    // Guards against releasing the run, and against counting the refusal against its worker.
+    const auto result = GENERATE(StartResult::StaleView, StartResult::PermitExpired, StartResult::StoreSilent);
+    SchedulerWorld world(1);
+    world.run(Milliseconds(200));
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true }));
+    auto& state = world.state();
+    const TaskRef task { GraphJobId("a"), 0, 0, 0 };
+    const auto isSent = [&] { return !findTask(state, task)->runs.empty() && findTask(state, task)->runs[0].phase == RunPhase::Starting; };
+    REQUIRE(world.runUntil(isSent, Milliseconds(1000)));
+    const RunRef ref { task, findTask(state, task)->lastRun };
+    Orders orders;
+    onStartResult(state, ref, result, MonotonicTime(std::chrono::hours(2)), orders);
+    REQUIRE(findRun(state, ref));
+    CHECK(findRun(state, ref)->phase == RunPhase::Recorded);
+    CHECK(std::ranges::find(state.recordedRuns, ref) != state.recordedRuns.end());
+    CHECK(state.workers.at(SchedulerWorld::workerId(0)).health.avoidUntil == MonotonicTime());
+}
