--- a/libs/scheduler/include/scheduler/Health.h
+++ b/libs/scheduler/include/scheduler/Health.h
@@ -12,7 +12,7 @@
 void recordStall(State&, Worker&, const RunRef&, MonotonicTime now, Orders&);
 
 // Updates the worker's health after it did not take the start of a run, although it answers polls.
-void recordUntakenStart(State&, Worker&, MonotonicTime now, Orders&);
+void recordUnacceptedStart(State&, Worker&, MonotonicTime now, Orders&);
 
 // Lets other workers be preferred for the task.
 void preferOtherWorkers(Task&, const WorkerId&);
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -223,7 +223,7 @@
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
     // Consecutive runs whose start the worker did not take.
-    unsigned untakenStarts = 0;
+    unsigned unacceptedStarts = 0;
     MonotonicTime avoidUntil;
     MonotonicTime quarantinedUntil;
     unsigned quarantines = 0;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -87,7 +87,7 @@
             if (run->phase == RunPhase::Unverified)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
-            worker.health.untakenStarts = 0;
+            worker.health.unacceptedStarts = 0;
             if (job->state == schema::JobState::Queued)
                 job->state = schema::JobState::Running;
         }
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -15,7 +15,7 @@
     constexpr unsigned stallsToQuarantine = 2;
     constexpr Milliseconds quarantineTime { 3000 };
     // Number of consecutive runs whose start was not taken.
-    constexpr unsigned untakenStartsToQuarantine = 2;
+    constexpr unsigned unacceptedStartsToQuarantine = 2;
     constexpr unsigned maxQuarantineDoublings = 2;
     // After each failure or stall that counts against a worker, other workers are preferred for this time.
     constexpr Milliseconds failureAvoidTime { 1500 };
@@ -55,7 +55,7 @@
         const auto failures = static_cast<std::int64_t>(worker.health.recentFailures.size());
         worker.health.recentFailures.clear();
         worker.health.stalls = 0;
-        worker.health.untakenStarts = 0;
+        worker.health.unacceptedStarts = 0;
         orders.emplace_back(Decision { "worker_quarantined", {}, worker.id, reason, {}, failures });
     }
 
@@ -81,7 +81,7 @@
     if (kind == EndKind::Done) {
         health.recentFailures.clear();
         health.stalls = 0;
-        health.untakenStarts = 0;
+        health.unacceptedStarts = 0;
         health.quarantines = 0;
         health.isOnProbation = false;
         return;
@@ -112,11 +112,11 @@
         task.failedOn.push_back(id);
 }
 
-void recordUntakenStart(State& state, Worker& worker, MonotonicTime now, Orders& orders)
+void recordUnacceptedStart(State& state, Worker& worker, MonotonicTime now, Orders& orders)
 {
     worker.health.avoidUntil = now + failureAvoidTime;
-    const unsigned needed = worker.health.isOnProbation ? 1 : untakenStartsToQuarantine;
-    if (++worker.health.untakenStarts >= needed)
+    const unsigned needed = worker.health.isOnProbation ? 1 : unacceptedStartsToQuarantine;
+    if (++worker.health.unacceptedStarts >= needed)
         quarantine(state, worker, "starts", now, orders);
 }
 
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -22,12 +22,12 @@
     constexpr unsigned maxStartRetries = 2;
 
     // The worker did not take the start of the run. Without a mark it would stay empty, look best and be chosen again.
-    void markUntakenStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now, Orders& orders)
+    void markUnacceptedStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now, Orders& orders)
     {
         if (auto* task = findTask(state, ref.task))
             preferOtherWorkers(*task, id);
         if (auto* worker = findWorker(state, id))
-            recordUntakenStart(state, *worker, now, orders);
+            recordUnacceptedStart(state, *worker, now, orders);
     }
 
     // The worker refused the order at once, so nothing is known to be wrong with its other tasks.
@@ -165,7 +165,7 @@
 void resendStart(State& state, const RunRef& ref, Run& run, MonotonicTime now, Orders& orders)
 {
     if (run.startRetries >= maxStartRetries) {
-        markUntakenStart(state, ref, run.worker, now, orders);
+        markUnacceptedStart(state, ref, run.worker, now, orders);
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
     }
     ++run.startRetries;
@@ -197,7 +197,7 @@
         run->startConfirmedAt = now;
         run->percentChangedAt = now;
         if (worker) {
-            worker->health.untakenStarts = 0;
+            worker->health.unacceptedStarts = 0;
             worker->lastAnswerAt = now;
             // Tasks start at full pace, so a lower one must be sent.
             sendPaces(state, *worker, orders);
@@ -235,7 +235,7 @@
             return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         return releaseRefusedRun(state, ref, now, Milliseconds(0));
     case StartResult::Refused:
-        markUntakenStart(state, ref, run->worker, now, orders);
+        markUnacceptedStart(state, ref, run->worker, now, orders);
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
     case StartResult::Fenced:
     case StartResult::Superseded:
