--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -313,7 +313,7 @@
         const auto it = std::find_if(peer.idle.rbegin(), peer.idle.rend(), isUsable);
         if (it == peer.idle.rend())
             return nullptr;
-        const auto connection = *it;
+        auto connection = *it;
         peer.idle.erase(std::next(it).base());
         // Readable while idle: closed by the peer, or out of step.
         char byte = 0;
--- a/libs/scheduler/include/scheduler/Health.h
+++ b/libs/scheduler/include/scheduler/Health.h
@@ -11,7 +11,7 @@
 // Updates the worker's health after a run on it made no progress.
 void recordStall(State&, Worker&, const RunRef&, MonotonicTime now, Orders&);
 
-// Updates the worker's health after it did not take the start of a run, although it answers polls.
+// Updates the worker's health after it did not accept the start of a run, although it answers polls.
 void recordUnacceptedStart(State&, Worker&, MonotonicTime now, Orders&);
 
 // Lets other workers be preferred for the task.
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -140,7 +140,7 @@
     std::vector<Run> runs;
     // The task is not placed before this time.
     MonotonicTime notBefore;
-    // Workers on which the task has failed or that did not take its start. Others are preferred.
+    // Workers on which the task has failed or that did not accept its start. Others are preferred.
     std::vector<WorkerId> failedOn;
     // For a standing task: time since which no worker has executed it, and its last run number at that time.
     std::optional<MonotonicTime> idleSince;
@@ -222,7 +222,7 @@
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
-    // Consecutive runs whose start the worker did not take.
+    // Consecutive runs whose start the worker did not accept.
     unsigned unacceptedStarts = 0;
     MonotonicTime avoidUntil;
     MonotonicTime quarantinedUntil;
--- a/libs/scheduler/src/Health.cpp
+++ b/libs/scheduler/src/Health.cpp
@@ -14,7 +14,7 @@
     // Number of stalled runs without a successful task in between.
     constexpr unsigned stallsToQuarantine = 2;
     constexpr Milliseconds quarantineTime { 3000 };
-    // Number of consecutive runs whose start was not taken.
+    // Number of consecutive runs whose start was not accepted.
     constexpr unsigned unacceptedStartsToQuarantine = 2;
     constexpr unsigned maxQuarantineDoublings = 2;
     // After each failure or stall that counts against a worker, other workers are preferred for this time.
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -21,7 +21,7 @@
     // Number of times that an unanswered start is resent, on new connections, before the run is stopped.
     constexpr unsigned maxStartRetries = 2;
 
-    // The worker did not take the start of the run. Without a mark it would stay empty, look best and be chosen again.
+    // The worker did not accept the start of the run. Without a mark it would stay empty, look best and be chosen again.
     void markUnacceptedStart(State& state, const RunRef& ref, const WorkerId& id, MonotonicTime now, Orders& orders)
     {
         if (auto* task = findTask(state, ref.task))
