Do not start work again because the leader's own link loses answers

Cause: with a full link the leader reads no answer of many workers for longer than their lease, and released their runs as lapsed. The repeats of unanswered starts kept the link full after the load had gone.

Change: a lapsed run is released only when its worker has missed two polls in a row, and not while a quarter of the workers, in several failure domains, are silent at once (own_link_suspected). Start orders that await an answer are limited by a window that shrinks on delay (StartWindow). Progress records are compressed with zstd and ends are committed every 60 ms instead of 35.

--- a/build.sh
+++ b/build.sh
@@ -9,7 +9,7 @@
 jobs=${KC_JOBS:-$(nproc)}
 
 packages="libulfius-dev libflatbuffers-dev flatbuffers-compiler libdocopt-dev liblog4cxx-dev libexpected-dev catch2 libasio-dev libboost1.81-dev
- liblua5.4-dev libxxhash-dev ninja-build ccache libbenchmark-dev libprometheus-cpp-core1.0 cmake g++ pkg-config clang-format clang-tidy python3"
+ liblua5.4-dev libxxhash-dev ninja-build ccache libbenchmark-dev libzstd-dev libprometheus-cpp-core1.0 cmake g++ pkg-config clang-format clang-tidy python3"
 
 install_packages() {
     missing=""
--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -13,6 +13,7 @@
 find_library(FLATBUFFERS_LIBRARY flatbuffers REQUIRED)
 find_library(DOCOPT_LIBRARY docopt REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(ZSTD_LIBRARY zstd REQUIRED)
 
 # prometheus-cpp-dev and libulfius-dev need conflicting libcurl packages, so build.sh unpacks the former here without installing it.
 set(KC_DEPS_DIR "$ENV{HOME}/.cache/kingcuploom" CACHE PATH "Folder with the unpacked prometheus-cpp-dev package")
--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -11,7 +11,7 @@
     using scheduler::GraphJobId;
 
     // Delay of non-urgent commits, so that changes within it share a transaction.
-    constexpr Milliseconds commitBatchDelay { 35 };
+    constexpr Milliseconds commitBatchDelay { 60 };
     constexpr Milliseconds commitRetryDelay { 60 };
     // Concurrent commits always concern different jobs.
     constexpr unsigned maxCommitsInFlight = 4;
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -30,8 +30,6 @@
     auto* worker = scheduler::findWorker(m_state, order.worker);
     const auto* job = scheduler::findJob(m_state, order.run.task.job);
     const auto* task = scheduler::findTask(m_state, order.run.task);
-    if (!worker || !job || !task || !scheduler::findRun(m_state, order.run))
-        return;
     const auto onResult = [self = shared_from_this(), run = order.run](scheduler::StartResult result) {
         if (self->m_isStopped)
             return;
@@ -40,6 +38,10 @@
             self->reportFirstStart(run);
         self->requestSchedulingPass();
     };
+    if (!worker || !job || !task || !scheduler::findRun(m_state, order.run)) {
+        boost::asio::post(m_loop, [onResult] { onResult(scheduler::StartResult::NotSent); });
+        return;
+    }
     if (!isViewFresh()) {
         boost::asio::post(m_loop, [onResult] { onResult(scheduler::StartResult::StaleView); });
         return;
--- a/libs/node/src/Records.cpp
+++ b/libs/node/src/Records.cpp
@@ -1,5 +1,7 @@
 #include "node/Records.h"
 
+#include "Compression.h"
+
 namespace kingcuploom::node {
 
 namespace {
@@ -28,11 +30,16 @@
 
 std::shared_ptr<schema::GraphJobSpecT> decodeJob(const std::string& value) { return decodeRecord<schema::GraphJobSpec>(value); }
 
-std::string encodeProgress(const schema::GraphJobProgressT& progress) { return encodeRecord<schema::GraphJobProgress>(progress); }
+// Written with each start and end, and the larger part of what a leader sends. A record has a row of the same shape for each task.
+std::string encodeProgress(const schema::GraphJobProgressT& progress) { return compress(encodeRecord<schema::GraphJobProgress>(progress)); }
 
+// Also reads records of earlier versions, which are not compressed.
 std::unique_ptr<schema::GraphJobProgressT> decodeProgress(const std::string& value)
 {
-    return decodeRecord<schema::GraphJobProgress>(value);
+    const auto content = decompress(value);
+    if (!content && content.error() == CompressionError::Corrupt)
+        return nullptr;
+    return decodeRecord<schema::GraphJobProgress>(content ? *content : value);
 }
 
 } // namespace kingcuploom::node
--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -33,6 +33,9 @@
 // Returns true if runs are recorded on workers that do not answer or are no longer listed.
 bool hasRunsOnUnresponsiveWorkers(const State&);
 
+// Updates State::isOwnLinkSuspect from the polls without an answer.
+void checkOwnLink(State&, Orders&);
+
 // Emits the polls that are due.
 void schedulePolls(State&, MonotonicTime now, Orders&);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "scheduler/Interference.h"
+#include "scheduler/StartWindow.h"
 #include "schema/generated/jobs_generated.h"
 
 #include <deque>
@@ -348,6 +349,9 @@
     std::map<WorkerId, Worker> workers;
     // The view of draining workers and closed domains is too stale for starts, or the store has been silent for too long to extend leases.
     bool isViewStale = false;
+    // So many workers are silent at once that the leader's own link is the likely cause.
+    bool isOwnLinkSuspect = false;
+    StartWindow startWindow;
     std::unordered_map<GraphJobId, Job> jobs;
     // Jobs that have not ended, or whose runs have not all ended.
     std::set<GraphJobId> active;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -25,6 +25,9 @@
     constexpr Milliseconds unlistedRetention { 2000 };
     // Consecutive inventories without a worker before it counts as gone. A single inventory may predate the start of the worker.
     constexpr unsigned minMissedInventories = 2;
+    // The leader suspects its own link when this many workers with runs, and this share of them, do not answer.
+    constexpr std::size_t minSilentWorkers = 3;
+    constexpr std::size_t minSilentPercent = 25;
     // Time for which a draining worker may finish its runs.
     constexpr Milliseconds drainGracePeriod { 1200 };
 
@@ -154,6 +157,40 @@
         return needsPacing(worker) ? pacingPollWait : pollWait;
     }
 
+    // Workers with runs, and those of them that do not answer.
+    struct AnswerCount {
+        std::size_t workers = 0;
+        std::size_t silent = 0;
+
+        bool isMostlySilent() const { return silent > 0 && silent * 100 >= workers * minSilentPercent; }
+    };
+
+    std::map<FailureDomain, AnswerCount> countAnswers(const State& state)
+    {
+        std::map<FailureDomain, AnswerCount> counts;
+        for (const auto& [id, worker] : state.workers) {
+            if (worker.runs.empty() || !worker.isListed)
+                continue;
+            auto& count = counts[worker.domain];
+            ++count.workers;
+            count.silent += worker.missedPolls > 0 ? 1 : 0;
+        }
+        return counts;
+    }
+
+    // A failure domain that is cut off is silent as a whole, and the others answer. A link that is full loses answers of all domains.
+    bool isOwnLinkTheLikelyCause(const std::map<FailureDomain, AnswerCount>& counts)
+    {
+        AnswerCount total;
+        for (const auto& [domain, count] : counts) {
+            total.workers += count.workers;
+            total.silent += count.silent;
+        }
+        const auto silentDomains = std::ranges::count_if(counts, [](const auto& entry) { return entry.second.isMostlySilent(); });
+        const bool isWidespread = silentDomains > 1 || counts.size() == 1;
+        return total.silent >= minSilentWorkers && total.isMostlySilent() && isWidespread;
+    }
+
     void stopRunsOnDrainingWorker(State& state, Worker& worker, MonotonicTime now, Orders& orders)
     {
         if (now - worker.drainingSince < drainGracePeriod)
@@ -277,6 +314,18 @@
     });
 }
 
+void checkOwnLink(State& state, Orders& orders)
+{
+    const auto counts = countAnswers(state);
+    const bool wasSuspect = std::exchange(state.isOwnLinkSuspect, isOwnLinkTheLikelyCause(counts));
+    if (wasSuspect == state.isOwnLinkSuspect)
+        return;
+    std::size_t silent = 0;
+    std::ranges::for_each(counts, [&](const auto& entry) { silent += entry.second.silent; });
+    orders.emplace_back(Decision { state.isOwnLinkSuspect ? "own_link_suspected" : "own_link_cleared", {}, {}, "silent_workers", {},
+        static_cast<std::int64_t>(silent) });
+}
+
 void schedulePolls(State& state, MonotonicTime now, Orders& orders)
 {
     for (auto& [id, worker] : state.workers) {
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -231,7 +231,9 @@
 
 void placeWaitingTasks(State& state, MonotonicTime now, Orders& orders)
 {
-    if (state.isViewStale)
+    // Tasks wait in their jobs, where more urgent ones overtake them, rather than on a worker whose room they would hold.
+    const bool areStartsBacklogged = state.recordedRuns.size() > static_cast<std::size_t>(state.startWindow.limit);
+    if (state.isViewStale || areStartsBacklogged)
         return;
     std::erase_if(state.waiting, [&](const GraphJobId& id) {
         const auto& job = state.jobs.at(id);
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -117,6 +117,33 @@
 
 } // namespace
 
+namespace {
+
+    void emitStart(State& state, const RunRef& ref, Run& run, bool isRepeat, MonotonicTime now, Orders& orders)
+    {
+        run.orderedAt = now;
+        run.isOrderInFlight = true;
+        onStartSent(state.startWindow);
+        orders.emplace_back(StartOrder { ref, run.worker, isRepeat });
+    }
+
+    bool isWithheld(StartResult result)
+    {
+        return result == StartResult::NotSent || result == StartResult::StaleView || result == StartResult::WorkerLeaving
+            || result == StartResult::PermitExpired || result == StartResult::StoreSilent;
+    }
+
+    void updateWindow(StartWindow& window, const Run* run, StartResult result, MonotonicTime now)
+    {
+        if (!run || isWithheld(result))
+            return onStartWithheld(window);
+        if (result == StartResult::NoAnswer)
+            return onStartUnanswered(window);
+        onStartAnswered(window, std::chrono::duration_cast<Milliseconds>(now - run->orderedAt));
+    }
+
+} // namespace
+
 void onCommitted(State& state, const GraphJobId& id, ProgressVersion version, Revision recordRevision)
 {
     auto* job = findJob(state, id);
@@ -144,20 +171,23 @@
     if (state.isViewStale)
         return;
     const auto starts = takeRecordedStarts(state, now);
+    std::set<StepRef> begunGangs;
     for (const auto& [ref, readiness] : starts) {
         if (readiness == Readiness::Obsolete) {
             stopRun(state, ref, StopReason::UncertainStart, now, orders);
             continue;
         }
-        if (readiness == Readiness::WaitsForPermit) {
+        // The members of a gang wait for each other at their workers, so one that has begun is sent whole.
+        const bool isRoom = freeStarts(state.startWindow) > 0 || begunGangs.contains(toStepRef(ref.task));
+        if (readiness == Readiness::WaitsForPermit || !isRoom) {
             state.recordedRuns.push_back(ref);
             continue;
         }
+        if (getStepSpec(*findJob(state, ref.task.job), ref.task.step).gang)
+            begunGangs.insert(toStepRef(ref.task));
         auto* run = findRun(state, ref);
         run->phase = RunPhase::Starting;
-        run->orderedAt = now;
-        run->isOrderInFlight = true;
-        orders.emplace_back(StartOrder { ref, run->worker, run->startRetries > 0 });
+        emitStart(state, ref, *run, run->startRetries > 0, now, orders);
     }
     requestMissingPermits(state, starts, now, orders);
 }
@@ -169,14 +199,13 @@
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
     }
     ++run.startRetries;
-    run.orderedAt = now;
-    run.isOrderInFlight = true;
-    orders.emplace_back(StartOrder { ref, run.worker, true });
+    emitStart(state, ref, run, true, now, orders);
 }
 
 void onStartResult(State& state, const RunRef& ref, StartResult result, MonotonicTime now, Orders& orders)
 {
     auto* run = findRun(state, ref);
+    updateWindow(state.startWindow, run, result, now);
     if (!run)
         return;
     run->isOrderInFlight = false;
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -12,6 +12,8 @@
 
     // Delay before an unanswered order is resent.
     constexpr Milliseconds resendDelay { 100 };
+    // Consecutive polls without an answer after which a worker counts as silent.
+    constexpr unsigned minMissedPolls = 2;
 
     void releaseLapsedRun(State& state, const RunRef& ref, const Run& run, const Worker& worker, MonotonicTime now, Orders& orders)
     {
@@ -58,7 +60,10 @@
             + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100;
         // An earlier leader may have extended the lease of its runs, so a worker that has not answered in this term may still execute them.
         const auto end = isSent && worker.hasSeenFence ? worker.leaseEnd : std::max(worker.leaseEnd, earlierTermLeaseEnd);
-        if (now > end)
+        // The run may have ended as done in an answer that this leader's link has lost or still holds back, so that starting the task
+        // again would repeat completed work. The worker is polled until it answers, or until its silence is its own.
+        const bool isSilenceOfWorker = !worker.isListed || (worker.missedPolls >= minMissedPolls && !state.isOwnLinkSuspect);
+        if (now > end && isSilenceOfWorker)
             return releaseLapsedRun(state, ref, *run, worker, now, orders);
         if (run->isOrderInFlight || now - run->orderedAt < resendDelay)
             return;
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -40,6 +40,8 @@
         if (job.spec->repeat_count > 0)
             openDueOccurrences(state, job, now, wallMs);
     }
+    checkOwnLink(state, orders);
+    updateStartWindow(state.startWindow, now);
     checkRuns(state, now, orders);
     checkProgress(state, now, orders);
     checkWorkers(state, now, orders);
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -92,6 +92,10 @@
     void setReportDelay(Milliseconds);
     // All workers are in rack r1 by default.
     void setRack(unsigned, const Rack&);
+    // All workers are in failure domain "north" by default.
+    void setDomain(unsigned, const FailureDomain&);
+    // The worker's answers do not reach the leader for this time; orders reach the worker.
+    void loseAnswers(unsigned, Milliseconds);
 
     // Sets the workers for which the adviser issues tickets, for every step.
     void setAllowedWorkers(const std::set<unsigned>&);
@@ -117,11 +121,13 @@
     struct FakeWorker {
         WorkerId id;
         Rack rack { "r1" };
+        FailureDomain domain { "north" };
         IncarnationTime born { 1 };
         bool isUp = true;
         bool isDraining = false;
         MonotonicTime partitionedUntil;
         MonotonicTime upAt;
+        MonotonicTime answersLostUntil;
         std::map<RunRef, Execution> running;
         std::map<TaskRef, RunNumber> closed;
         std::vector<ListedEnd> ends;
@@ -149,6 +155,7 @@
     MonotonicTime randomArrivalTime();
     std::int64_t wallMs() const;
     bool isReachable(const FakeWorker&) const;
+    bool areAnswersLost(const WorkerId& id) { return m_now < findFakeWorker(id).answersLostUntil; }
     void post(MonotonicTime, std::function<void()>);
     void deliverDue();
     void listWorkers();
