Send a leader's orders through relays near the workers

Each node registers under kc/node/ with a lease and is a relay of the leader's term for a share of the workers of its failure domain, in proportion to core and link (weighted rendezvous hashing). Orders go in one framed FlatBuffers message for each relay and iteration of the event loop; payloads once per job, lists of runs as differences. A relay decides nothing: orders carry an expiry on its own clock and the term, and without a usable relay the leader calls the worker itself. Fleets of up to 100 workers that the link carries are called directly as before. The HTTP client goes by the boot clock: a machine that was suspended no longer sends starts whose limit has passed (test failing before: 1 request sent).

--- a/libs/base/src/Rendezvous.cpp
+++ b/libs/base/src/Rendezvous.cpp
@@ -1,6 +1,7 @@
 #include "base/Rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <xxhash.h>
 
 namespace kingcuploom {
@@ -23,4 +24,13 @@
     return *best;
 }
 
+double rendezvousScore(std::string_view key, const DaemonId& member, double weightFactor)
+{
+    // Maps the upper 53 bits of the hash, all that a double holds, to the open interval from 0 to 1.
+    constexpr int droppedBits = 11;
+    constexpr double steps = 9007199254740992.0;
+    const auto uniform = (static_cast<double>(weight(key, member) >> droppedBits) + 0.5) / steps;
+    return -weightFactor / std::log(uniform);
+}
+
 } // namespace kingcuploom
--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Clock.h"
 #include "base/Expected.h"
 #include "base/Ids.h"
 #include "http/HttpMessage.h"
@@ -52,7 +53,8 @@
 // connections are kept and reused per address.
 class AsyncHttpClient {
 public:
-    AsyncHttpClient(boost::asio::io_context&, AsyncClientLimits = {});
+    // The clock must also count the time for which the machine is suspended, since the limits of a call hold meanwhile.
+    AsyncHttpClient(boost::asio::io_context&, const Clock&, AsyncClientLimits = {});
     ~AsyncHttpClient();
     AsyncHttpClient(const AsyncHttpClient&) = delete;
     AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -21,7 +21,6 @@
     namespace asio = boost::asio;
     namespace beast = boost::beast;
     using tcp = asio::ip::tcp;
-    using SteadyTime = std::chrono::steady_clock::time_point;
     using BeastRequest = beast::http::request<beast::http::string_body>;
     using BeastParser = beast::http::response_parser<beast::http::string_body>;
 
@@ -56,9 +55,9 @@
         return request;
     }
 
-    SteadyTime sendDeadlineOf(const AsyncCall& call, SteadyTime now)
+    MonotonicTime sendDeadlineOf(const AsyncCall& call, MonotonicTime now)
     {
-        return call.maxSendDelay ? now + *call.maxSendDelay : SteadyTime::max();
+        return call.maxSendDelay ? now + *call.maxSendDelay : MonotonicTime::max();
     }
 
     Response responseOf(BeastParser& parser)
@@ -94,8 +93,8 @@
     struct WaitingCall {
         AsyncCall call;
         AsyncCallback callback;
-        SteadyTime deadline;
-        SteadyTime sendDeadline;
+        MonotonicTime deadline;
+        MonotonicTime sendDeadline;
     };
 
     // Connections to one address.
@@ -108,8 +107,9 @@
 } // namespace
 
 struct AsyncHttpClient::State : std::enable_shared_from_this<State> {
-    State(asio::io_context& loop, AsyncClientLimits limits)
+    State(asio::io_context& loop, const Clock& clock, AsyncClientLimits limits)
         : loop(loop)
+        , clock(clock)
         , limits(limits)
         , sweepTimer(loop)
     {
@@ -121,13 +121,14 @@
     void startWaiting(Peer&);
     void armSweep();
     void sweep();
-    void dropLateWaiting(SteadyTime now);
+    void dropLateWaiting(MonotonicTime now);
     // Returns null if there is no usable idle connection. With isRepeat, only connections without a request so far are usable.
     std::shared_ptr<Connection> takeIdle(Peer&, bool isRepeat);
     // Makes room for a new connection by closing an idle one.
     void closeOneIdle(Peer&);
 
     asio::io_context& loop;
+    const Clock& clock;
     AsyncClientLimits limits;
     asio::steady_timer sweepTimer;
     bool isSweepArmed = false;
@@ -139,6 +140,7 @@
 struct Connection : std::enable_shared_from_this<Connection> {
     Connection(const std::shared_ptr<AsyncHttpClient::State>& owner, Address address)
         : owner(owner)
+        , clock(owner->clock)
         , address(std::move(address))
         , socket(owner->loop)
     {
@@ -148,13 +150,14 @@
     void connect();
     void send();
     void receive();
-    bool isLate(SteadyTime now) const;
-    bool isTooLateToSend(SteadyTime now) const { return !isSending && sendDeadline <= now; }
+    bool isLate(MonotonicTime now) const;
+    bool isTooLateToSend(MonotonicTime now) const { return !isSending && sendDeadline <= now; }
     // The error of a call that is ended at this time.
-    AsyncCallError errorAt(SteadyTime now) const;
+    AsyncCallError errorAt(MonotonicTime now) const;
     void finish(Expected<Response, AsyncCallError>, bool isReusable);
 
     std::weak_ptr<AsyncHttpClient::State> owner;
+    const Clock& clock;
     Address address;
     tcp::socket socket;
     bool isConnected = false;
@@ -165,17 +168,17 @@
     BeastRequest request;
     std::optional<BeastParser> parser;
     AsyncCallback callback;
-    SteadyTime deadline;
-    SteadyTime sendDeadline;
-    SteadyTime idleSince;
-    SteadyTime connectDeadline;
+    MonotonicTime deadline;
+    MonotonicTime sendDeadline;
+    MonotonicTime idleSince;
+    MonotonicTime connectDeadline;
     // Past its deadline at the last sweep, and not sent since.
     bool isOverdue = false;
 };
 
 void Connection::start(const AsyncCall& call, AsyncCallback done)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = clock.now();
     callback = std::move(done);
     deadline = now + call.timeout;
     sendDeadline = sendDeadlineOf(call, now);
@@ -216,7 +219,7 @@
 void Connection::send()
 {
     // Checked here as well as in the sweep, because a late loop can run this handler before the sweep that is due.
-    if (isTooLateToSend(std::chrono::steady_clock::now())) {
+    if (isTooLateToSend(clock.now())) {
         asio::post(
             socket.get_executor(), [self = shared_from_this()] { self->finish(makeUnexpected(AsyncCallError::NotSentInTime), true); });
         return;
@@ -248,9 +251,9 @@
     });
 }
 
-bool Connection::isLate(SteadyTime now) const { return deadline <= now || (!isConnected && connectDeadline <= now); }
+bool Connection::isLate(MonotonicTime now) const { return deadline <= now || (!isConnected && connectDeadline <= now); }
 
-AsyncCallError Connection::errorAt(SteadyTime now) const
+AsyncCallError Connection::errorAt(MonotonicTime now) const
 {
     if (isSending)
         return AsyncCallError::NoAnswer;
@@ -274,7 +277,7 @@
     if (peer.busyCount < limits.maxConnections) {
         start(peer, call, std::move(callback));
     } else {
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = clock.now();
         const auto deadline = now + call.timeout;
         const auto sendDeadline = sendDeadlineOf(call, now);
         peer.waiting.push_back({ std::move(call), std::move(callback), deadline, sendDeadline });
@@ -307,7 +310,7 @@
 
 std::shared_ptr<Connection> AsyncHttpClient::State::takeIdle(Peer& peer, bool isRepeat)
 {
-    const auto oldest = std::chrono::steady_clock::now() - limits.idleTimeout;
+    const auto oldest = clock.now() - limits.idleTimeout;
     const auto isUsable = [isRepeat](const auto& it) { return !isRepeat || !it->hasSent; };
     for (;;) {
         const auto it = std::find_if(peer.idle.rbegin(), peer.idle.rend(), isUsable);
@@ -331,7 +334,7 @@
     auto& peer = peers[connection->address];
     --peer.busyCount;
     if (isReusable) {
-        connection->idleSince = std::chrono::steady_clock::now();
+        connection->idleSince = clock.now();
         peer.idle.push_back(connection);
     } else {
         boost::system::error_code ec;
@@ -346,7 +349,7 @@
         auto next = std::move(peer.waiting.front());
         peer.waiting.pop_front();
         --waitingCount;
-        const auto now = std::chrono::steady_clock::now();
+        const auto now = clock.now();
         next.call.timeout = std::max(std::chrono::duration_cast<Milliseconds>(next.deadline - now), Milliseconds(1));
         if (next.call.maxSendDelay)
             next.call.maxSendDelay = std::chrono::duration_cast<Milliseconds>(next.sendDeadline - now);
@@ -372,7 +375,7 @@
 
 void AsyncHttpClient::State::sweep()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = clock.now();
     std::vector<std::shared_ptr<Connection>> late;
     // A call ends only in the second sweep after its deadline, once the loop has read the sockets in between: when the loop itself is late,
     // the response may have arrived in time.
@@ -388,7 +391,7 @@
         dropLateWaiting(now);
 }
 
-void AsyncHttpClient::State::dropLateWaiting(SteadyTime now)
+void AsyncHttpClient::State::dropLateWaiting(MonotonicTime now)
 {
     std::vector<std::pair<AsyncCallback, AsyncCallError>> late;
     for (auto& [address, peer] : peers) {
@@ -404,8 +407,8 @@
     std::ranges::for_each(late, [](const auto& it) { it.first(makeUnexpected(it.second)); });
 }
 
-AsyncHttpClient::AsyncHttpClient(asio::io_context& loop, AsyncClientLimits limits)
-    : m_state(std::make_shared<State>(loop, limits))
+AsyncHttpClient::AsyncHttpClient(asio::io_context& loop, const Clock& clock, AsyncClientLimits limits)
+    : m_state(std::make_shared<State>(loop, clock, limits))
 {
 }
 
--- a/libs/http/tests/AsyncHttpClientTests.cpp
+++ b/libs/http/tests/AsyncHttpClientTests.cpp
@@ -1,6 +1,9 @@
 #include "ScriptedServer.h"
+#include "base/BootClock.h"
 #include "http/AsyncHttpClient.h"
 
+#include "base/BootClock.h"
+
 #include <atomic>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -45,7 +48,8 @@
 CallResult callWithDelayedLoop(const AsyncCall& call, Milliseconds delay)
 {
     boost::asio::io_context loop { 1 };
-    AsyncHttpClient client(loop);
+    const BootClock clock;
+    AsyncHttpClient client(loop, clock);
     std::optional<CallResult> result;
     client.call(call, [&](const CallResult& it) { result = it; });
     boost::asio::post(loop, [delay] { std::this_thread::sleep_for(delay); });
@@ -112,7 +116,8 @@
     boost::asio::io_context loop { 1 };
     AsyncClientLimits limits;
     limits.maxConnections = 1;
-    AsyncHttpClient client(loop, limits);
+    const BootClock clock;
+    AsyncHttpClient client(loop, clock, limits);
     std::optional<CallResult> first;
     std::optional<CallResult> second;
     auto call = makeCall(peer.server.url(), testTimeout);
@@ -147,7 +152,8 @@
     constexpr Milliseconds sendLimit { 50 };
     CountingServer peer(Milliseconds(0));
     boost::asio::io_context loop { 1 };
-    AsyncHttpClient client(loop);
+    const BootClock clock;
+    AsyncHttpClient client(loop, clock);
     auto call = makeCall(peer.server.url(), testTimeout);
     call.maxSendDelay = sendLimit;
     call.isRepeat = isRepeat;
@@ -164,3 +170,22 @@
     CHECK(isAnswered);
     CHECK(peer.requests == 1);
 }
+
+TEST_CASE("a call that waits while the machine is suspended is not sent after its send limit")
+{
+    // Guards against a machine that wakes up and sends starts which were permitted before it was suspended. The steady clock does not count
+    // that time, so the client goes by the clock that it is given.
+    CountingServer peer(Milliseconds(0));
+    boost::asio::io_context loop { 1 };
+    ManualClock clock;
+    AsyncHttpClient client(loop, clock);
+    auto call = makeCall(peer.server.url(), testTimeout * 2);
+    call.maxSendDelay = callTimeout;
+    std::optional<CallResult> result;
+    client.call(call, [&](const CallResult& it) { result = it; });
+    clock.advance(testTimeout);
+    await(loop, result);
+    REQUIRE_FALSE(result->has_value());
+    CHECK(result->error() == AsyncCallError::NotSentInTime);
+    CHECK(peer.requests == 0);
+}
--- a/libs/node/include/node/WorkerCalls.h
+++ b/libs/node/include/node/WorkerCalls.h
@@ -11,6 +11,7 @@
 struct WorkerTarget {
     scheduler::WorkerId id;
     Address address;
+    FailureDomain domain;
 };
 
 struct StartMessage {
@@ -34,6 +35,8 @@
     Milliseconds wait { 0 };
     Revision fence;
     bool isRepeat = false;
+    // Last end that the sender has handled; an answer that lists no later one may be withheld until "wait" has passed.
+    scheduler::EndNumber knownEnd;
 };
 
 // Sends orders to workers. Methods must be called on the event loop's thread. Callbacks run on the same thread, never before the method has
@@ -42,6 +45,10 @@
 public:
     virtual ~WorkerCalls() = default;
 
+    // A term of this node begins or ends. Orders are sent only during a term.
+    virtual void beginTerm(Revision) { }
+    virtual void endTerm() { }
+
     virtual void start(const WorkerTarget&, const StartMessage&, std::function<void(scheduler::StartResult)>) = 0;
     virtual void stop(const WorkerTarget&, const scheduler::RunRef&, Revision fence, std::function<void(scheduler::StopResult)>) = 0;
     virtual void poll(const WorkerTarget&, const PollMessage&, std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)>)
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -67,6 +67,7 @@
     };
     m_workers
         = std::make_shared<PrefixWatcher>(m_loop, m_store, m_clock, m_formats.workerPrefix, workerWatchTimeout, std::move(workerCallbacks));
+    m_calls.beginTerm(m_state.term);
     m_jobs->start();
     m_workers->start();
     readInterference();
@@ -77,6 +78,7 @@
 void Coordinator::stop()
 {
     m_isStopped = true;
+    m_calls.endTerm();
     m_metrics.setIdleStandingTasks(0);
     m_jobs->stop();
     m_workers->stop();
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -12,6 +12,8 @@
     // Added to the expected processing time of the adviser.
     constexpr Milliseconds adviceTimeoutMargin { 1000 };
 
+    WorkerTarget targetOf(const scheduler::Worker& worker) { return { worker.id, worker.address, worker.domain }; }
+
     // Reasons that contain figures are replaced by a fixed label, since each distinct reason creates a time series.
     std::string metricReason(const scheduler::Decision& decision)
     {
@@ -60,7 +62,7 @@
     }
     StartMessage message { order.run, job->spec->payload, task->checkpoint, permit ? permit->ticket : std::string(), *leaseUntil,
         m_state.term, order.isRepeat, viewTimeLeft() };
-    m_calls.start({ worker->id, worker->address }, message, onResult);
+    m_calls.start(targetOf(*worker), message, onResult);
 }
 
 void Coordinator::execute(const scheduler::StopOrder& order)
@@ -68,13 +70,12 @@
     const auto* worker = scheduler::findWorker(m_state, order.worker);
     if (!worker)
         return;
-    m_calls.stop(
-        { worker->id, worker->address }, order.run, m_state.term, [self = shared_from_this(), order](scheduler::StopResult result) {
-            if (self->m_isStopped)
-                return;
-            scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now());
-            self->requestSchedulingPass();
-        });
+    m_calls.stop(targetOf(*worker), order.run, m_state.term, [self = shared_from_this(), order](scheduler::StopResult result) {
+        if (self->m_isStopped)
+            return;
+        scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now());
+        self->requestSchedulingPass();
+    });
 }
 
 void Coordinator::execute(const scheduler::PaceOrder& order)
@@ -82,11 +83,10 @@
     const auto* worker = scheduler::findWorker(m_state, order.worker);
     if (!worker)
         return;
-    m_calls.pace(
-        { worker->id, worker->address }, order.run, order.percent, m_state.term, [self = shared_from_this(), order](bool isAccepted) {
-            if (!self->m_isStopped)
-                scheduler::onPaceResult(self->m_state, order.run, order.percent, isAccepted);
-        });
+    m_calls.pace(targetOf(*worker), order.run, order.percent, m_state.term, [self = shared_from_this(), order](bool isAccepted) {
+        if (!self->m_isStopped)
+            scheduler::onPaceResult(self->m_state, order.run, order.percent, isAccepted);
+    });
 }
 
 void Coordinator::execute(const scheduler::PollOrder& order)
@@ -103,7 +103,8 @@
     message.wait = order.wait;
     message.fence = m_state.term;
     message.isRepeat = worker->missedPolls > 0;
-    m_calls.poll({ worker->id, worker->address }, message,
+    message.knownEnd = worker->lastSeenEnd;
+    m_calls.poll(targetOf(*worker), message,
         [self = shared_from_this(), id = order.worker, sentAt](const Expected<scheduler::PollReport, scheduler::PollFailure>& report) {
             if (self->m_isStopped)
                 return;
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -75,6 +75,8 @@
     WorkerLeaving,
     // Withheld: the permit of the adviser has expired since the placement.
     PermitExpired,
+    // No connection to the relay of the worker, or the relay has lost its session. The relay sent nothing.
+    RelayLost,
     // Withheld: the store has been silent for too long to extend leases.
     StoreSilent,
     NoAnswer,
--- a/libs/scheduler/src/Orders.cpp
+++ b/libs/scheduler/src/Orders.cpp
@@ -31,6 +31,8 @@
         return "permit_expired";
     case StartResult::StoreSilent:
         return "store_silent";
+    case StartResult::RelayLost:
+        return "relay_lost";
     case StartResult::NoAnswer:
         break;
     }
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -130,7 +130,7 @@
     bool isWithheld(StartResult result)
     {
         return result == StartResult::NotSent || result == StartResult::StaleView || result == StartResult::WorkerLeaving
-            || result == StartResult::PermitExpired || result == StartResult::StoreSilent;
+            || result == StartResult::PermitExpired || result == StartResult::StoreSilent || result == StartResult::RelayLost;
     }
 
     void updateWindow(StartWindow& window, const Run* run, StartResult result, MonotonicTime now)
@@ -239,6 +239,7 @@
     case StartResult::StaleView:
     case StartResult::PermitExpired:
     case StartResult::StoreSilent:
+    case StartResult::RelayLost:
         return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
--- a/libs/schema/generate.sh
+++ b/libs/schema/generate.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 out=${1:-generated/schema/generated}
 mkdir -p "$out"
-flatc --cpp --gen-object-api --scoped-enums --cpp-std c++17 -I fbs -o "$out" fbs/settings.fbs fbs/link.fbs
+flatc --cpp --gen-object-api --scoped-enums --cpp-std c++17 -I fbs -o "$out" fbs/settings.fbs fbs/relay.fbs fbs/link.fbs
 # Records, and the resources in them, are compared to store only what has changed.
 flatc --cpp --gen-object-api --gen-compare --scoped-enums --cpp-std c++17 -I fbs -o "$out" fbs/resources.fbs fbs/records.fbs fbs/jobs.fbs
 for name in settings resources; do
