Keep the lists of runs of relay and leader in the same order; run the soak with relays

Cause: differences name runs by their position in the base. The relay kept the worker's order and the leader its own, so that after the second difference a removed run could be another one: the leader took executed runs for missing and started their tasks again.

Found by the soak (seed 502, tests/findings), which gives daemons with an even seed a link so narrow that the leader uses relays: 194 violations, 2,298 runs unknown to the leader. Change: both sides sort the list by run. RunListTests failed before.

--- a/libs/relay/include/relay/RunList.h
+++ b/libs/relay/include/relay/RunList.h
@@ -19,8 +19,9 @@
 schema::RelayRunNameT makeRunName(const scheduler::RunRef&);
 scheduler::RunRef parseRunName(const schema::RelayRunNameT&);
 
-// Writes the differences of the list from the base to the report.
-void encodeRuns(const RunList& base, const RunList&, schema::RelayReportT&);
+// Writes the differences of the list from the base to the report, and returns the list as decodeRuns() returns it: the base of the next
+// differences has to be in the same order on both sides.
+RunList encodeRuns(const RunList& base, RunList, schema::RelayReportT&);
 Expected<RunList, RunListError> decodeRuns(const RunList& base, const schema::RelayReportT&);
 
 void encodeEnds(const std::vector<scheduler::ListedEnd>&, schema::RelayReportT&);
--- a/libs/relay/src/RelayServer.cpp
+++ b/libs/relay/src/RelayServer.cpp
@@ -209,9 +209,9 @@
     auto& reported = session->reported[order.worker()];
     const bool isBaseKnown = order.base() != 0 && reported.order == order.base();
     row->base = isBaseKnown ? order.base() : 0;
-    encodeRuns(isBaseKnown ? reported.runs : RunList(), report.running, *row);
+    reported.runs = encodeRuns(isBaseKnown ? reported.runs : RunList(), report.running, *row);
+    reported.order = order.order();
     encodeEnds(report.ends, *row);
-    reported = { order.order(), report.running };
     session->results.reports.push_back(std::move(row));
     scheduleFlush(session, report.ends.empty() ? routineFlushDelay : Milliseconds(0));
 }
--- a/libs/relay/src/RunList.cpp
+++ b/libs/relay/src/RunList.cpp
@@ -59,7 +59,7 @@
     return { { scheduler::GraphJobId(name.job), name.occurrence, name.step, name.index }, scheduler::RunNumber(name.run) };
 }
 
-void encodeRuns(const RunList& base, const RunList& list, schema::RelayReportT& report)
+RunList encodeRuns(const RunList& base, RunList list, schema::RelayReportT& report)
 {
     auto positions = indexByRun(base);
     for (const auto& run : list) {
@@ -77,6 +77,8 @@
     }
     std::ranges::transform(positions, std::back_inserter(report.removed), [](const auto& entry) { return entry.second; });
     std::ranges::sort(report.removed);
+    std::ranges::sort(list, {}, &ListedRun::run);
+    return list;
 }
 
 Expected<RunList, RunListError> decodeRuns(const RunList& base, const schema::RelayReportT& report)
@@ -103,6 +105,7 @@
             return malformed;
         list.push_back({ parseRunName(*row->name), row->checkpoint, row->percent, row->figure });
     }
+    std::ranges::sort(list, {}, &ListedRun::run);
     return list;
 }
 
--- a/libs/relay/tests/RunListTests.cpp
+++ b/libs/relay/tests/RunListTests.cpp
@@ -50,6 +50,24 @@
     }
 }
 
+TEST_CASE("Lists stay the same over a series of differences, in whatever order a worker lists its runs")
+{
+    // Guards against positions that mean other runs for the leader than for the relay (soak seed 502: runs counted as missing while they
+    // were executed, and their tasks were started again).
+    std::mt19937_64 random(2);
+    RunList sent;
+    RunList received;
+    for (int i = 0; i < 500; ++i) {
+        const auto list = makeList(random);
+        schema::RelayReportT report;
+        sent = encodeRuns(sent, list, report);
+        const auto decoded = decodeRuns(received, report);
+        REQUIRE(decoded);
+        received = *decoded;
+        REQUIRE(std::ranges::equal(sorted(received), sorted(list), isSameRun));
+    }
+}
+
 TEST_CASE("Differences that do not fit the base are refused")
 {
     // Guards against an access outside the list, after a message that was damaged or belongs to another base.
--- a/tests/soak/Cluster.cpp
+++ b/tests/soak/Cluster.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+    // Below the link that a leader needs to call the executors of a soak itself, so that it uses relays.
+    constexpr double relayedLinkMbps = 0.1;
+    constexpr double directLinkMbps = 1000;
+
     constexpr Milliseconds startTimeout { 20'000 };
     constexpr Milliseconds callTimeout { 2000 };
     constexpr Milliseconds pollInterval { 30 };
@@ -119,7 +123,8 @@
     out << "node=" << daemonName(daemon) << "\nzone=" << domainName(daemon) << "\nlisten.front=" << address(getPort(it.front))
         << "\nlisten.ready=" << address(getPort(it.ready)) << "\nplatform.address=" << address(it.storeLink->port())
         << "\ncloud_api.address=" << address(m_storePort) << "\ncontrol_mode=call\nlimits.cpu_share=0.1\nlimits.cores=1\n"
-        << "bounds.hold_max_ms=10000\nbounds.grace_s=6\nbounds.status_s=120\n";
+        << "limits.link_mbps=" << (m_size.usesRelays ? relayedLinkMbps : directLinkMbps)
+        << "\nbounds.hold_max_ms=10000\nbounds.grace_s=6\nbounds.status_s=120\n";
     return path;
 }
 
--- a/tests/soak/Cluster.h
+++ b/tests/soak/Cluster.h
@@ -15,6 +15,8 @@
 struct ClusterSize {
     unsigned daemons = 4;
     unsigned executors = 6;
+    // The leader sends its orders to executors through the other daemons.
+    bool usesRelays = false;
 };
 
 // Runs the store, executors and daemons as separate processes. Each daemon reaches the store through its own proxy, and each executor is
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,7 +16,7 @@
   platform_soak BINARIES [--seed=N] [--seconds=N] [--daemons=N] [--executors=N] [--callers=N] [--keep]
 
 Options:
-  --seed=N       Seed of the faults and the load [default: 1].
+  --seed=N       Seed of the faults and the load; the daemons use relays with an even one [default: 1].
   --seconds=N    Duration of fault injection [default: 12].
   --daemons=N    Number of daemons [default: 4].
   --executors=N  Number of executors [default: 6].
@@ -69,10 +69,11 @@
     const auto folder
         = std::filesystem::temp_directory_path() / ("kingcuploom-soak-" + std::to_string(seed) + '-' + std::to_string(getpid()));
     std::cout << "soak seed=" << seed << " logs=" << folder.string() << std::endl;
+    const bool usesRelays = seed % 2 == 0;
     const SystemClock clock;
     InvariantChecker checker(clock, folder, Cluster::maxAttempts, getNumber(arguments, "--executors"));
-    Cluster cluster(
-        arguments.at("BINARIES").asString(), folder, { getNumber(arguments, "--daemons"), getNumber(arguments, "--executors") });
+    Cluster cluster(arguments.at("BINARIES").asString(), folder,
+        { getNumber(arguments, "--daemons"), getNumber(arguments, "--executors"), usesRelays });
     if (!cluster.start()) {
         std::cout << "error: the processes did not start\n";
         return 2;
