--- a/libs/relay/include/relay/RelayService.h
+++ b/libs/relay/include/relay/RelayService.h
@@ -39,7 +39,6 @@
     RegistryCallbacks makeRegistryCallbacks();
     RelayedCallsSettings makeCallsSettings();
 
-    const Clock& m_clock;
     RelaySettings m_settings;
     HubTransport m_transport;
     RelayServer m_server;
--- a/libs/relay/src/RelayService.cpp
+++ b/libs/relay/src/RelayService.cpp
@@ -14,8 +14,7 @@
 
 RelayService::RelayService(
     boost::asio::io_context& loop, const Clock& clock, node::AsyncStore& store, node::WorkerCalls& direct, RelaySettings settings)
-    : m_clock(clock)
-    , m_settings(std::move(settings))
+    : m_settings(std::move(settings))
     , m_transport(loop, clock, makeHandlers())
     , m_server(loop, clock, direct, m_transport)
     , m_calls(loop, clock, direct, m_transport, makeCallsSettings())
--- a/libs/relay/src/RelayedCalls.cpp
+++ b/libs/relay/src/RelayedCalls.cpp
@@ -124,16 +124,20 @@
     relay.clock.reset();
     relay.batch = {};
     const auto unsent = std::exchange(relay.batchOrders, {});
-    std::vector<std::pair<Pending, bool>> failed;
+    struct Failed {
+        Pending pending;
+        bool wasSent = false;
+    };
+    std::vector<Failed> failed;
     std::erase_if(m_pending, [&](auto& entry) {
         if (entry.second.relay != relay.peer.daemon)
             return false;
         const bool wasSent = std::ranges::find(unsent, entry.first) == unsent.end();
-        failed.emplace_back(std::move(entry.second), wasSent);
+        failed.push_back({ std::move(entry.second), wasSent });
         return true;
     });
-    for (auto& [pending, wasSent] : failed)
-        boost::asio::post(m_loop, [pending = std::move(pending), wasSent] { fail(pending, wasSent); });
+    for (auto& it : failed)
+        boost::asio::post(m_loop, [it = std::move(it)] { fail(it.pending, it.wasSent); });
 }
 
 void RelayedCalls::fail(const Pending& pending, bool wasSent)
