--- a/libs/relay/src/RelayServer.cpp
+++ b/libs/relay/src/RelayServer.cpp
@@ -213,7 +213,8 @@
     reported.order = order.order();
     encodeEnds(report.ends, *row);
     session->results.reports.push_back(std::move(row));
-    scheduleFlush(session, report.ends.empty() ? routineFlushDelay : Milliseconds(0));
+    // Paces depend on the age of the readings.
+    scheduleFlush(session, Milliseconds(0));
 }
 
 void RelayServer::addFailedReport(const SessionPointer& session, std::uint64_t order, RelayResult result)
