Say for each queue and size how jobs have fared and what they waited for

Each job now has a size class by its rank among the recent jobs of its queue, and the time that it waits is recorded by cause. The leader writes the counts of its term as one line for each queue and size every 2 s, and as metrics; kingcuploomctl sizes adds up log files over leaders. No decision changed.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -6,6 +6,7 @@
 #include "node/OperatorView.h"
 #include "node/PlacementAdviser.h"
 #include "node/Records.h"
+#include "node/SizeReport.h"
 #include "node/WorkerCalls.h"
 #include "scheduler/Scheduler.h"
 
@@ -90,6 +91,8 @@
     const OperatorView& m_operators;
     Leadership& m_leadership;
     scheduler::State m_state;
+    SizeReport m_sizes;
+    MonotonicTime m_sizesPublishedAt;
     std::shared_ptr<PrefixWatcher> m_jobs;
     std::shared_ptr<PrefixWatcher> m_workers;
     boost::asio::steady_timer m_tickTimer;
--- a/libs/node/include/node/NodeMetrics.h
+++ b/libs/node/include/node/NodeMetrics.h
@@ -2,11 +2,25 @@
 
 #include "base/Clock.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 namespace kingcuploom::node {
 
+// How a job has ended for its caller: completed by its due time, later, or when the result was of no use any more.
+enum class EndOutcome {
+    OnTime,
+    Late,
+    Expired,
+    Failed,
+    Cancelled,
+};
+
+inline constexpr std::size_t endOutcomeCount = 5;
+
+const char* toString(EndOutcome);
+
 // Counters and latency histograms of a node. Thread-safe.
 class NodeMetrics {
 public:
@@ -26,6 +40,12 @@
     // Delay of the event loop's timers beyond their due time, which shows a leader that is short of CPU time.
     void observeLoopDelay(Milliseconds);
     void setIdleStandingTasks(std::size_t);
+    // By queue and size of the job.
+    void countJobEnd(const std::string& queue, const std::string& size, EndOutcome);
+    // Adds time that jobs which were not on time have waited for the cause.
+    void addWait(const std::string& queue, const std::string& size, const std::string& cause, Milliseconds);
+    // Jobs that have not ended, with and without a started task.
+    void setWaitingJobs(const std::string& queue, const std::string& size, std::uint64_t begun, std::uint64_t notBegun);
     void setLeading(bool);
 
     // Returns all metrics in the Prometheus text format.
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -17,6 +17,8 @@
     // two slow responses of the store. This must stay below the maximum age at which tasks are started, 1.3 s.
     constexpr Milliseconds workerWatchTimeout { 400 };
     constexpr Milliseconds housekeepingInterval { 1000 };
+    // A leader that is killed leaves counts out that are younger than this.
+    constexpr Milliseconds sizeReportInterval { 2000 };
     // Longer delays of the event loop are logged, at most once in each interval.
     constexpr Milliseconds reportedLoopDelay { 250 };
     constexpr Milliseconds loopDelayReportInterval { 1000 };
@@ -35,6 +37,7 @@
     , m_formats(formats)
     , m_operators(operators)
     , m_leadership(leadership)
+    , m_sizes(services.metrics, term)
     , m_tickTimer(loop)
 {
     m_state.parameters = parameters;
@@ -78,6 +81,8 @@
 void Coordinator::stop()
 {
     m_isStopped = true;
+    if (m_isScheduling)
+        m_sizes.publish(m_state);
     m_calls.endTerm();
     m_metrics.setIdleStandingTasks(0);
     m_jobs->stop();
@@ -123,7 +128,8 @@
     }
     const auto* job = scheduler::addJob(m_state, std::move(spec), nullptr, {}, m_clock.now(), wallMs());
     if (job)
-        logEvent(LogLevel::Info, "job_known", { { "job", id }, { "queue", job->queue }, { "steps", job->spec->steps.size() } });
+        logEvent(LogLevel::Info, "job_known",
+            { { "job", id }, { "queue", job->queue }, { "steps", job->spec->steps.size() }, { "size", toString(job->size) } });
     requestSchedulingPass();
 }
 
@@ -283,6 +289,10 @@
         storeInterference();
         m_metrics.setIdleStandingTasks(m_state.idleStandingTasks);
     }
+    if (m_clock.now() - m_sizesPublishedAt >= sizeReportInterval) {
+        m_sizesPublishedAt = m_clock.now();
+        m_sizes.publish(m_state);
+    }
 }
 
 void Coordinator::executeOrders()
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -163,9 +163,10 @@
     const auto late = std::chrono::duration_cast<Milliseconds>(m_clock.now() - job.dueAt);
     const char* state = schema::EnumNameJobState(job.state);
     m_metrics.observeJob(state, std::max(elapsed, Milliseconds(0)));
+    m_sizes.addEnded(job);
     logEvent(LogLevel::Info, "job_ended",
-        { { "job", job.id }, { "state", state }, { "took_ms", elapsed.count() }, { "past_due_ms", late.count() },
-            { "term", m_state.term } });
+        { { "job", job.id }, { "state", state }, { "took_ms", elapsed.count() }, { "past_due_ms", late.count() }, { "queue", job.queue },
+            { "size", toString(job.size) }, { "term", m_state.term } });
 }
 
 } // namespace kingcuploom::node
--- a/libs/node/src/NodeMetrics.cpp
+++ b/libs/node/src/NodeMetrics.cpp
@@ -41,6 +41,16 @@
         = histogram(registry, "kingcuploom_takeover_duration_seconds", "From winning the term to scheduling");
     prometheus::Family<prometheus::Histogram>& loopDelays
         = histogram(registry, "kingcuploom_loop_delay_seconds", "Delay of the event loop's timers beyond their due time");
+    prometheus::Family<prometheus::Counter>& jobEnds
+        = prometheus::BuildCounter().Name("kingcuploom_job_ends_total").Help("Ended jobs by queue, size and outcome").Register(registry);
+    prometheus::Family<prometheus::Counter>& waits = prometheus::BuildCounter()
+                                                         .Name("kingcuploom_job_wait_seconds_total")
+                                                         .Help("Time that jobs which were not on time have waited, by cause")
+                                                         .Register(registry);
+    prometheus::Family<prometheus::Gauge>& openJobs = prometheus::BuildGauge()
+                                                          .Name("kingcuploom_open_jobs")
+                                                          .Help("Jobs that have not ended, as this node knows as leader")
+                                                          .Register(registry);
     prometheus::Gauge& idleStandingTasks = prometheus::BuildGauge()
                                                .Name("kingcuploom_idle_standing_tasks")
                                                .Help("Standing tasks that no worker executes, as this node knows as leader")
@@ -87,6 +97,22 @@
 
 void NodeMetrics::setIdleStandingTasks(std::size_t count) { m_state->idleStandingTasks.Set(static_cast<double>(count)); }
 
+void NodeMetrics::countJobEnd(const std::string& queue, const std::string& size, EndOutcome outcome)
+{
+    m_state->jobEnds.Add({ { "queue", queue }, { "size", size }, { "outcome", toString(outcome) } }).Increment();
+}
+
+void NodeMetrics::addWait(const std::string& queue, const std::string& size, const std::string& cause, Milliseconds time)
+{
+    m_state->waits.Add({ { "queue", queue }, { "size", size }, { "cause", cause } }).Increment(seconds(time));
+}
+
+void NodeMetrics::setWaitingJobs(const std::string& queue, const std::string& size, std::uint64_t begun, std::uint64_t notBegun)
+{
+    m_state->openJobs.Add({ { "queue", queue }, { "size", size }, { "state", "begun" } }).Set(static_cast<double>(begun));
+    m_state->openJobs.Add({ { "queue", queue }, { "size", size }, { "state", "not_begun" } }).Set(static_cast<double>(notBegun));
+}
+
 void NodeMetrics::setLeading(bool isLeading) { m_state->leading.Set(isLeading ? 1 : 0); }
 
 std::string NodeMetrics::serialize() const { return prometheus::TextSerializer().Serialize(m_state->registry.Collect()); }
@@ -109,6 +135,9 @@
 void NodeMetrics::observeTakeover(Milliseconds) { }
 void NodeMetrics::observeLoopDelay(Milliseconds) { }
 void NodeMetrics::setIdleStandingTasks(std::size_t) { }
+void NodeMetrics::countJobEnd(const std::string&, const std::string&, EndOutcome) { }
+void NodeMetrics::addWait(const std::string&, const std::string&, const std::string&, Milliseconds) { }
+void NodeMetrics::setWaitingJobs(const std::string&, const std::string&, std::uint64_t, std::uint64_t) { }
 void NodeMetrics::setLeading(bool) { }
 std::string NodeMetrics::serialize() const { return {}; }
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -3,6 +3,7 @@
 #include "base/Clock.h"
 #include "base/Ids.h"
 #include "scheduler/Interference.h"
+#include "scheduler/JobSizes.h"
 #include "scheduler/StartWindow.h"
 #include "schema/generated/jobs_generated.h"
 
@@ -181,6 +182,9 @@
     std::shared_ptr<const schema::GraphJobSpecT> spec;
     // Indexed by step.
     std::vector<ImageNumber> images;
+    // Size among the jobs of its queue that this leader has seen.
+    SizeClass size = SizeClass::SmallestHalf;
+    WaitTimes waits;
     schema::JobState state = schema::JobState::Queued;
     std::map<std::uint32_t, Occurrence> occurrences;
     // Occurrences 0 to this number, exclusive, have been opened.
@@ -373,10 +377,13 @@
     Revision term;
     MonotonicTime termStartedAt;
     std::map<QueueName, schema::QueuePolicyT> queues;
+    std::map<QueueName, WorkSample> workSamples;
     std::set<FailureDomain> closedDomains;
     std::map<WorkerId, Worker> workers;
     // The view of draining workers and closed domains is too stale for starts, or the store has been silent for too long to extend leases.
     bool isViewStale = false;
+    // No waiting task is placed: the view is too stale, or too many recorded starts wait.
+    bool isPlacementHeld = false;
     // So many workers are silent at once that the leader's own link is the likely cause.
     bool isOwnLinkSuspect = false;
     StartWindow startWindow;
--- /dev/null
+++ b/libs/scheduler/src/JobSizes.cpp
@@ -0,0 +1,89 @@
+#include "scheduler/JobSizes.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace kingcuploom::scheduler {
+
+namespace {
+
+    // Jobs that a sample remembers. More would follow a change of a queue's load too slowly.
+    constexpr std::size_t maxSampleSize = 256;
+
+    // Upper bounds of the classes but the last, as shares of the sample.
+    constexpr std::array<std::pair<double, SizeClass>, sizeClassCount - 1> upperBounds
+        = { { { 0.5, SizeClass::SmallestHalf }, { 0.7, SizeClass::UpperMiddle }, { 0.9, SizeClass::UpperFifth } } };
+
+} // namespace
+
+const char* toString(SizeClass size)
+{
+    switch (size) {
+    case SizeClass::SmallestHalf:
+        return "smallest_half";
+    case SizeClass::UpperMiddle:
+        return "upper_middle";
+    case SizeClass::UpperFifth:
+        return "upper_fifth";
+    case SizeClass::LargestTenth:
+        break;
+    }
+    return "largest_tenth";
+}
+
+double computeWork(const schema::GraphJobSpecT& spec)
+{
+    return std::accumulate(spec.steps.begin(), spec.steps.end(), 0.0, [](double sum, const auto& step) {
+        return sum + static_cast<double>(step->count) * static_cast<double>(step->cpu_millis) / 1000 * step->estimate_ms;
+    });
+}
+
+SizeClass WorkSample::add(double work)
+{
+    if (m_recent.size() == maxSampleSize) {
+        m_sorted.erase(std::ranges::lower_bound(m_sorted, m_recent.front()));
+        m_recent.pop_front();
+    }
+    m_recent.push_back(work);
+    const auto position = m_sorted.insert(std::ranges::upper_bound(m_sorted, work), work);
+    const auto rank = (static_cast<double>(position - m_sorted.begin()) + 0.5) / static_cast<double>(m_sorted.size());
+    const auto* it = std::ranges::find_if(upperBounds, [&](const auto& bound) { return rank < bound.first; });
+    return it == upperBounds.end() ? SizeClass::LargestTenth : it->second;
+}
+
+const char* toString(WaitCause cause)
+{
+    switch (cause) {
+    case WaitCause::Room:
+        return "room";
+    case WaitCause::RoomWhenLate:
+        return "room_when_late";
+    case WaitCause::ReservedRoom:
+        return "reserved_room";
+    case WaitCause::Permit:
+        return "permit";
+    case WaitCause::Retry:
+        return "retry";
+    case WaitCause::Trial:
+        return "trial";
+    case WaitCause::LeaderHold:
+        break;
+    }
+    return "leader_hold";
+}
+
+void WaitTimes::begin(WaitCause cause, MonotonicTime now)
+{
+    end(now);
+    m_current = cause;
+    m_since = now;
+}
+
+void WaitTimes::end(MonotonicTime now)
+{
+    if (m_current)
+        m_spent[static_cast<std::size_t>(*m_current)] += std::chrono::duration_cast<Milliseconds>(now - m_since);
+    m_current.reset();
+}
+
+} // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -153,6 +153,7 @@
     job.spec = std::move(spec);
     std::ranges::transform(
         job.spec->steps, std::back_inserter(job.images), [&](const auto& step) { return state.interference.getImageNumber(step->image); });
+    job.size = state.workSamples[job.queue].add(computeWork(*job.spec));
     job.recordRevision = recordRevision;
     job.arrivedAt = now;
     const auto age = std::clamp(Milliseconds(wallMs - job.spec->accepted_at_ms), Milliseconds(0), Milliseconds(60'000));
@@ -228,6 +229,7 @@
     job.endedAt = now;
     job.endedWallMs = wallMs;
     job.hasWaitingTasks = false;
+    job.waits.end(now);
     state.ended.insert(job.id);
     markDirty(state, job, now, true);
 }
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -162,22 +162,23 @@
         return false;
     }
 
-    // Returns true if tasks remain to be placed.
-    bool placeStep(
+    // Returns what the tasks that remain to be placed wait for, or nothing if none remains.
+    std::optional<WaitCause> placeStep(
         State& state, Job& job, std::uint32_t occurrence, std::uint32_t stepNumber, MonotonicTime now, Pass& pass, Orders& orders)
     {
         auto& step = job.occurrences.at(occurrence).steps[stepNumber];
         if (!step.isOpen || step.doneCount == step.tasks.size())
-            return false;
+            return std::nullopt;
+        const auto causeWithoutRoom = isAdvised(state, job) ? WaitCause::Permit : WaitCause::Room;
         if (getStepSpec(job, stepNumber).gang) {
             const bool isWaitingGang = std::ranges::any_of(step.tasks, isWaiting);
             if (!isWaitingGang || placeGang(state, pass.workers, job, occurrence, stepNumber, now, orders))
-                return false;
+                return std::nullopt;
             if (isAdvised(state, job))
                 requestPermits(state, pass.workers, job, { job.id, occurrence, stepNumber, 0 }, now, orders);
-            return true;
+            return causeWithoutRoom;
         }
-        bool hasUnplacedTasks = false;
+        std::optional<WaitCause> cause;
         const auto& service = getPolicy(state, job).service;
         std::optional<StepCandidates> candidates;
         for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -186,7 +187,7 @@
                 continue;
             const bool isTrial = needsTrial(task);
             if (!mayBePlaced(task, now) || (isTrial && !mayBeginTrial(state, job))) {
-                hasUnplacedTasks = true;
+                cause = isTrial ? WaitCause::Trial : WaitCause::Retry;
                 continue;
             }
             const TaskRef ref { job.id, occurrence, stepNumber, index };
@@ -194,7 +195,7 @@
                 candidates.emplace(state, pass.workers, job, ref, now);
             auto* worker = !candidates ? nullptr : isTrial ? candidates->chooseForTrial(state, task) : candidates->choose(task);
             if (!worker && isTrial) {
-                hasUnplacedTasks = true;
+                cause = WaitCause::Trial;
                 continue;
             }
             // The other tasks of the step have the same demand.
@@ -204,24 +205,39 @@
                 else
                     pass.failed.add(job, stepNumber, service);
                 reportWait(state, job, ref, now, orders);
-                return true;
+                return causeWithoutRoom;
             }
             addRun(state, job, ref, task, task.lastRun.next(), *worker, now, orders);
             candidates->update(*worker);
         }
-        return hasUnplacedTasks;
+        return cause;
     }
 
-    void placeJob(State& state, Job& job, MonotonicTime now, Pass& pass, Orders& orders)
+    void placeJob(State& state, Job& job, DeadlineStatus status, MonotonicTime now, Pass& pass, Orders& orders)
     {
-        bool hasUnplacedTasks = false;
+        std::optional<WaitCause> cause;
         for (auto& [number, occurrence] : job.occurrences) {
-            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step)
-                hasUnplacedTasks = placeStep(state, job, number, step, now, pass, orders) || hasUnplacedTasks;
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                const auto stepCause = placeStep(state, job, number, step, now, pass, orders);
+                cause = stepCause ? stepCause : cause;
+            }
+        }
+        job.hasWaitingTasks = cause.has_value();
+        if (!cause)
+            return job.waits.end(now);
+        const bool isLate = status == DeadlineStatus::Late || status == DeadlineStatus::Expired;
+        job.waits.begin(cause == WaitCause::Room && isLate ? WaitCause::RoomWhenLate : *cause, now);
+        job.blockedUntil = now + blockedRetryDelay;
+    }
+
+    void recordPlacementHold(State& state, bool isHeld, MonotonicTime now)
+    {
+        if (std::exchange(state.isPlacementHeld, isHeld) || !isHeld)
+            return;
+        for (const auto& id : state.waiting) {
+            if (auto& job = state.jobs.at(id); job.hasWaitingTasks && !hasEnded(job))
+                job.waits.begin(WaitCause::LeaderHold, now);
         }
-        job.hasWaitingTasks = hasUnplacedTasks;
-        if (hasUnplacedTasks)
-            job.blockedUntil = now + blockedRetryDelay;
     }
 
     bool needsCopy(const State& state, const schema::StepSpecT& step, const Task& task, MonotonicTime now)
@@ -244,7 +260,8 @@
 {
     // Tasks wait in their jobs, where more urgent ones overtake them, rather than on a worker whose room they would hold.
     const bool areStartsBacklogged = state.recordedRuns.size() > static_cast<std::size_t>(state.startWindow.limit);
-    if (state.isViewStale || areStartsBacklogged)
+    recordPlacementHold(state, state.isViewStale || areStartsBacklogged, now);
+    if (state.isPlacementHeld)
         return;
     markSuspectWorkers(state);
     std::erase_if(state.waiting, [&](const GraphJobId& id) {
@@ -260,7 +277,8 @@
     // Ties are broken by job id, the order of state.waiting.
     std::ranges::stable_sort(waiting, {}, [](const auto& it) { return it.first; });
     Pass pass { OpenWorkers(state), {} };
-    std::ranges::for_each(waiting, [&](const auto& it) { placeJob(state, *it.second, now, pass, orders); });
+    for (const auto& [urgency, job] : waiting)
+        placeJob(state, *job, urgency.outlook, now, pass, orders);
 }
 
 void placeSpeculativeCopies(State& state, MonotonicTime now, Orders& orders)
--- a/tools/kingcuploomctl/CommandLine.cpp
+++ b/tools/kingcuploomctl/CommandLine.cpp
@@ -26,12 +26,14 @@
   kingcuploomctl status [JOB] [options]
   kingcuploomctl explain (task | request-class | worker) NAME [options]
   kingcuploomctl audit [OBJECT] [--since SECONDS] [--limit N] [options]
+  kingcuploomctl sizes LOG...
   kingcuploomctl --help
   kingcuploomctl --version
 
 Arguments:
   KIND    service, failure_domain, team or policy.
   NAME    Name of a resource; for explain: JOB/INDEX of a task, SERVICE or SERVICE/TEAM of a request class, VM of a worker.
+  LOG     Log file of one or more nodes.
   OBJECT  Object of audit events, for example failure_domain/north; with '/' at the end, all objects with that prefix.
 
 Commands:
@@ -40,6 +42,7 @@
   watch    Show changes as they happen, from a revision on.
   status   Show the state of a daemon, or of a job.
   drain    Take a failure domain out of service; restore returns it to service.
+  sizes    Show from log files how the jobs of each queue and size have fared, and what those that were not on time waited for.
 
 Options:
   -f FILE          File with one resource or job, as JSON with comments; may be repeated.
@@ -90,6 +93,7 @@
         CommandName { "status", Command::Status },
         CommandName { "explain", Command::Explain },
         CommandName { "audit", Command::Audit },
+        CommandName { "sizes", Command::Sizes },
     };
 
     std::string getEnvironment(const char* name, const std::string& fallback)
@@ -156,6 +160,8 @@
         line.command = it->command;
         if (const auto files = values.find("-f"); files != values.end() && files->second.isStringList())
             line.files = files->second.asStringList();
+        if (const auto logs = values.find("LOG"); logs != values.end() && logs->second.isStringList() && line.files.empty())
+            line.files = logs->second.asStringList();
         line.kind = getKind(values);
         line.name = getName(values);
         line.reason = getText(values, "--reason");
--- a/tools/kingcuploomctl/CommandLine.h
+++ b/tools/kingcuploomctl/CommandLine.h
@@ -36,6 +36,7 @@
     Status,
     Explain,
     Audit,
+    Sizes,
 };
 
 enum class OutputFormat {
--- a/tools/kingcuploomctl/Commands.cpp
+++ b/tools/kingcuploomctl/Commands.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
 #include "Output.h"
+#include "SizeTable.h"
 #include "Table.h"
 #include "resources/ResourceKey.h"
 #include "schema/JsonCodec.h"
@@ -282,6 +283,21 @@
         return printAnswer(session, send(session, "GET", path), printAuditEvents);
     }
 
+    ExitCode showSizes(const Session& session)
+    {
+        SizeTable table;
+        for (const auto& file : session.line.files) {
+            std::ifstream input(file);
+            if (!input) {
+                session.err << "error: file " << file << " cannot be read\n";
+                return ExitCode::UsageError;
+            }
+            table.read(input);
+        }
+        printTable(session.out, table.rows());
+        return ExitCode::Done;
+    }
+
 } // namespace
 
 ExitCode runCommand(const Session& session)
@@ -311,9 +327,11 @@
     case Command::Explain:
         return printAnswer(session, send(session, "GET", "/v1/explain/" + encodePath(line.kind + "/" + line.name)), printExplanation);
     case Command::Audit:
+        return audit(session);
+    case Command::Sizes:
         break;
     }
-    return audit(session);
+    return showSizes(session);
 }
 
 } // namespace kingcuploom::ctl
