Keep room for jobs that smaller ones would pass over without end

Cause: each pass placed whatever fitted, and kept nothing for a task that did not. A task that needs several runs of a worker to end never found them ended at once, and a job that had become late came after each job that could be on time. Nothing bounded the wait. Change: (1) a step that waits for room claims workers, which take nothing else that would use the claimed room until enough runs have ended; at most a quarter of the workers of a service, by urgency, and only where more than one run has to end. (2) The jobs that were accepted first claim workers in turn, whatever their urgency, up to a sixteenth of the workers' time; this bounds each wait. (3) A size of which fewer jobs were served than four fifths of the queue's share goes first within its priority, until it has caught up. Why it works: the room of several runs is now collected, and which jobs pass others over depends on what each size has been served.

--- a/libs/scheduler/include/scheduler/JobSizes.h
+++ b/libs/scheduler/include/scheduler/JobSizes.h
@@ -40,14 +40,33 @@
     std::vector<double> m_sorted;
 };
 
+// Shares of the recent jobs of a queue that were served, which means completed while the result was of use, by size.
+class ServedShares {
+public:
+    void add(SizeClass, bool isServed);
+    // Returns true if clearly fewer of this size were served than of the whole queue.
+    bool isUnderserved(SizeClass) const;
+
+private:
+    std::array<double, sizeClassCount> m_served { 1, 1, 1, 1 };
+    // Shares of the sizes in the jobs.
+    std::array<double, sizeClassCount> m_frequencies { 0.5, 0.2, 0.2, 0.1 };
+};
+
+// The sizes of a queue's jobs.
+struct QueueSizes {
+    WorkSample sample;
+    ServedShares shares;
+};
+
 // What a job with unplaced tasks waits for.
 enum class WaitCause {
     // No worker has room, although the job can still be on time.
     Room,
     // No worker has room, and jobs that can still be on time go first.
     RoomWhenLate,
-    // Room on the workers that are reserved for the job.
-    ReservedRoom,
+    // Room on the workers that the job has claimed.
+    ClaimedRoom,
     // A permit of the adviser.
     Permit,
     // The delay after a failed run or a start that was not accepted, or the limit of crashes.
--- a/libs/scheduler/include/scheduler/Jobs.h
+++ b/libs/scheduler/include/scheduler/Jobs.h
@@ -20,6 +20,9 @@
 // Ends the job. The caller must stop its runs.
 void endJob(State&, Job&, schema::JobState, MonotonicTime now, std::int64_t wallMs);
 
+// Counts the job once in the shares of its queue: whether it was completed while its result was of use.
+void countServed(State&, Job&, bool isServed);
+
 // Returns the progress record to store, from which a later leader resumes the job.
 schema::GraphJobProgressT makeProgressRecord(const Job&);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -184,7 +184,11 @@
     std::vector<ImageNumber> images;
     // Size among the jobs of its queue that this leader has seen.
     SizeClass size = SizeClass::SmallestHalf;
+    // Already counted in the shares of its queue.
+    bool isShareCounted = false;
     WaitTimes waits;
+    // Time since which a task of the job has found no room.
+    std::optional<MonotonicTime> roomMissingSince;
     schema::JobState state = schema::JobState::Queued;
     std::map<std::uint32_t, Occurrence> occurrences;
     // Occurrences 0 to this number, exclusive, have been opened.
@@ -251,6 +255,17 @@
     bool isOnProbation = false;
 };
 
+// Room of a worker that is kept for a waiting step.
+struct RoomClaim {
+    StepRef step;
+    // Of the queue; a step of a more urgent queue is not kept off.
+    std::uint32_t priority = 0;
+    // Of one task.
+    Resources demand;
+    // Tasks of the step that the worker is to take.
+    unsigned tasks = 1;
+};
+
 // What the interference model expects of an additional filling task on a worker.
 struct FillingEstimate {
     ImageNumber image;
@@ -338,6 +353,7 @@
     // Minimum slack of each serving image at the last control interval. Each filling task placed since then has reduced it by the loss that
     // the task is expected to cause.
     std::map<ImageNumber, double> minSlacks;
+    std::optional<RoomClaim> claim;
     // No task is placed on the worker before this time, because it refused a start.
     MonotonicTime refusedUntil;
 };
@@ -377,7 +393,7 @@
     Revision term;
     MonotonicTime termStartedAt;
     std::map<QueueName, schema::QueuePolicyT> queues;
-    std::map<QueueName, WorkSample> workSamples;
+    std::map<QueueName, QueueSizes> queueSizes;
     std::set<FailureDomain> closedDomains;
     std::map<WorkerId, Worker> workers;
     // The view of draining workers and closed domains is too stale for starts, or the store has been silent for too long to extend leases.
@@ -394,6 +410,11 @@
     std::set<GraphJobId> ended;
     // The active jobs with hasWaitingTasks, and some that had it. Outdated entries are removed at each placement.
     std::set<GraphJobId> waiting;
+    // The workers with a claim.
+    std::set<WorkerId> claimedWorkers;
+    MonotonicTime claimsUpdatedAt;
+    // The jobs that were accepted first may claim no worker before this time.
+    MonotonicTime nextOldestClaimAt;
     // Jobs with progress to store.
     std::set<GraphJobId> dirty;
     // Permits of the steps whose queue has an adviser.
--- a/libs/scheduler/include/scheduler/Urgency.h
+++ b/libs/scheduler/include/scheduler/Urgency.h
@@ -8,6 +8,9 @@
 
 // How a waiting job stands against its due time, in the order in which jobs of one priority are placed.
 enum class DeadlineStatus {
+    // Of a size whose recent jobs have been served more rarely than those of the whole queue; can finish while the result is useful.
+    UnderservedBegun,
+    Underserved,
     // Can finish by its due time.
     OnTime,
     // Has standing (long-running) tasks, whose downtime costs the same at any time.
@@ -30,6 +33,9 @@
 
 Urgency computeUrgency(const State&, const Job&, MonotonicTime now);
 
+// Returns the time from which on the result of the job is of no use.
+MonotonicTime computeUselessAt(const Job&);
+
 // Returns the estimated duration of the critical path through the unfinished steps, maximal over the open occurrences.
 Milliseconds computeRemainingCriticalPath(const Job&);
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -338,7 +338,11 @@
     }
     std::erase_if(state.workers, [&](const auto& entry) {
         const auto& worker = entry.second;
-        return !worker.isListed && worker.runs.empty() && !worker.isPollInFlight && now - worker.unlistedSince > unlistedRetention;
+        const bool isGone
+            = !worker.isListed && worker.runs.empty() && !worker.isPollInFlight && now - worker.unlistedSince > unlistedRetention;
+        if (isGone)
+            state.claimedWorkers.erase(worker.id);
+        return isGone;
     });
 }
 
--- a/libs/scheduler/src/JobSizes.cpp
+++ b/libs/scheduler/src/JobSizes.cpp
@@ -14,6 +14,12 @@
     constexpr std::array<std::pair<double, SizeClass>, sizeClassCount - 1> upperBounds
         = { { { 0.5, SizeClass::SmallestHalf }, { 0.7, SizeClass::UpperMiddle }, { 0.9, SizeClass::UpperFifth } } };
 
+    // Weights of the newest job in the share of its size, and in the frequencies of the sizes.
+    constexpr double newestWeight = 1.0 / 16;
+    constexpr double newestFrequencyWeight = 1.0 / 64;
+    // A size is underserved below this fraction of the whole. It leaves a margin to the half that operators are promised.
+    constexpr double minShareOfWhole = 0.8;
+
 } // namespace
 
 const char* toString(SizeClass size)
@@ -45,12 +51,29 @@
         m_recent.pop_front();
     }
     m_recent.push_back(work);
-    const auto position = m_sorted.insert(std::ranges::upper_bound(m_sorted, work), work);
-    const auto rank = (static_cast<double>(position - m_sorted.begin()) + 0.5) / static_cast<double>(m_sorted.size());
+    m_sorted.insert(std::ranges::upper_bound(m_sorted, work), work);
+    // The middle of the equal ones, so that jobs of the same work are of the same size.
+    const auto equal = std::ranges::equal_range(m_sorted, work);
+    const auto middle = static_cast<double>((equal.begin() - m_sorted.begin()) + (equal.end() - m_sorted.begin())) / 2;
+    const auto rank = middle / static_cast<double>(m_sorted.size());
     const auto* it = std::ranges::find_if(upperBounds, [&](const auto& bound) { return rank < bound.first; });
     return it == upperBounds.end() ? SizeClass::LargestTenth : it->second;
 }
 
+void ServedShares::add(SizeClass size, bool isServed)
+{
+    const auto index = static_cast<std::size_t>(size);
+    m_served[index] += newestWeight * ((isServed ? 1.0 : 0.0) - m_served[index]);
+    for (std::size_t i = 0; i < sizeClassCount; ++i)
+        m_frequencies[i] += newestFrequencyWeight * ((i == index ? 1.0 : 0.0) - m_frequencies[i]);
+}
+
+bool ServedShares::isUnderserved(SizeClass size) const
+{
+    const auto whole = std::inner_product(m_served.begin(), m_served.end(), m_frequencies.begin(), 0.0);
+    return m_served[static_cast<std::size_t>(size)] < minShareOfWhole * whole;
+}
+
 const char* toString(WaitCause cause)
 {
     switch (cause) {
@@ -58,8 +81,8 @@
         return "room";
     case WaitCause::RoomWhenLate:
         return "room_when_late";
-    case WaitCause::ReservedRoom:
-        return "reserved_room";
+    case WaitCause::ClaimedRoom:
+        return "claimed_room";
     case WaitCause::Permit:
         return "permit";
     case WaitCause::Retry:
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
+#include "scheduler/Urgency.h"
 
 #include <algorithm>
 
@@ -153,7 +154,7 @@
     job.spec = std::move(spec);
     std::ranges::transform(
         job.spec->steps, std::back_inserter(job.images), [&](const auto& step) { return state.interference.getImageNumber(step->image); });
-    job.size = state.workSamples[job.queue].add(computeWork(*job.spec));
+    job.size = state.queueSizes[job.queue].sample.add(computeWork(*job.spec));
     job.recordRevision = recordRevision;
     job.arrivedAt = now;
     const auto age = std::clamp(Milliseconds(wallMs - job.spec->accepted_at_ms), Milliseconds(0), Milliseconds(60'000));
@@ -230,10 +231,18 @@
     job.endedWallMs = wallMs;
     job.hasWaitingTasks = false;
     job.waits.end(now);
+    if (outcome == schema::JobState::Completed)
+        countServed(state, job, now <= computeUselessAt(job));
     state.ended.insert(job.id);
     markDirty(state, job, now, true);
 }
 
+void countServed(State& state, Job& job, bool isServed)
+{
+    if (!std::exchange(job.isShareCounted, true))
+        state.queueSizes[job.queue].shares.add(job.size, isServed);
+}
+
 schema::GraphJobProgressT makeProgressRecord(const Job& job)
 {
     schema::GraphJobProgressT progress;
--- a/libs/scheduler/src/Placement.cpp
+++ b/libs/scheduler/src/Placement.cpp
@@ -3,8 +3,10 @@
 #include "RejectReason.h"
 #include "StepCandidates.h"
 #include "scheduler/Advice.h"
+#include "scheduler/Jobs.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Reservations.h"
+#include "scheduler/RoomClaims.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Suspects.h"
 #include "scheduler/Urgency.h"
@@ -105,6 +107,7 @@
         run.recordedInVersion = job.version;
         task.runs.push_back(run);
         reserve(state, { ref, number }, worker.id);
+        useClaim(state, worker, toStepRef(ref));
         if (const auto& step = getStepSpec(job, ref.step); step.fills)
             reserveSlack(state, worker, job.images[ref.step], step.cpu_millis);
         const auto age = std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt);
@@ -115,6 +118,11 @@
         orders.emplace_back(Decision { "run_placed", toString(RunRef { ref, number }), worker.id, isTrial ? "trial" : "score", age, room });
     }
 
+    bool hasClaim(const State& state, const StepRef& step)
+    {
+        return std::ranges::any_of(state.claimedWorkers, [&](const WorkerId& id) { return state.workers.at(id).claim->step == step; });
+    }
+
     bool isWaiting(const Task& task) { return !task.isDone && task.runs.empty(); }
 
     bool mayBePlaced(const Task& task, MonotonicTime now) { return task.notBefore <= now && !isCrashLimitReached(task); }
@@ -191,7 +199,9 @@
                 continue;
             }
             const TaskRef ref { job.id, occurrence, stepNumber, index };
-            if (!candidates && !pass.failed.covers(job, stepNumber, service))
+            // A demand that others have found no room for may fit a worker that the step has claimed.
+            const bool isHopeless = !hasClaim(state, toStepRef(ref)) && pass.failed.covers(job, stepNumber, service);
+            if (!candidates && !isHopeless)
                 candidates.emplace(state, pass.workers, job, ref, now);
             auto* worker = !candidates ? nullptr : isTrial ? candidates->chooseForTrial(state, task) : candidates->choose(task);
             if (!worker && isTrial) {
@@ -213,6 +223,15 @@
         return cause;
     }
 
+    WaitCause refineRoomCause(const State& state, const Job& job, DeadlineStatus status)
+    {
+        const bool hasClaims
+            = std::ranges::any_of(state.claimedWorkers, [&](const WorkerId& id) { return state.workers.at(id).claim->step.job == job.id; });
+        if (hasClaims)
+            return WaitCause::ClaimedRoom;
+        return status == DeadlineStatus::Late || status == DeadlineStatus::Expired ? WaitCause::RoomWhenLate : WaitCause::Room;
+    }
+
     void placeJob(State& state, Job& job, DeadlineStatus status, MonotonicTime now, Pass& pass, Orders& orders)
     {
         std::optional<WaitCause> cause;
@@ -223,10 +242,15 @@
             }
         }
         job.hasWaitingTasks = cause.has_value();
+        if (cause == WaitCause::Room) {
+            job.roomMissingSince = job.roomMissingSince.value_or(now);
+            cause = refineRoomCause(state, job, status);
+        } else if (std::exchange(job.roomMissingSince, std::nullopt)) {
+            releaseClaims(state, job);
+        }
         if (!cause)
             return job.waits.end(now);
-        const bool isLate = status == DeadlineStatus::Late || status == DeadlineStatus::Expired;
-        job.waits.begin(cause == WaitCause::Room && isLate ? WaitCause::RoomWhenLate : *cause, now);
+        job.waits.begin(*cause, now);
         job.blockedUntil = now + blockedRetryDelay;
     }
 
@@ -264,6 +288,7 @@
     if (state.isPlacementHeld)
         return;
     markSuspectWorkers(state);
+    updateRoomClaims(state, now, orders);
     std::erase_if(state.waiting, [&](const GraphJobId& id) {
         const auto& job = state.jobs.at(id);
         return !job.hasWaitingTasks || hasEnded(job);
@@ -277,8 +302,11 @@
     // Ties are broken by job id, the order of state.waiting.
     std::ranges::stable_sort(waiting, {}, [](const auto& it) { return it.first; });
     Pass pass { OpenWorkers(state), {} };
-    for (const auto& [urgency, job] : waiting)
+    for (const auto& [urgency, job] : waiting) {
+        if (urgency.outlook == DeadlineStatus::Expired)
+            countServed(state, *job, false);
         placeJob(state, *job, urgency.outlook, now, pass, orders);
+    }
 }
 
 void placeSpeculativeCopies(State& state, MonotonicTime now, Orders& orders)
--- a/libs/scheduler/src/RejectReason.cpp
+++ b/libs/scheduler/src/RejectReason.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/Advice.h"
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
+#include "scheduler/RoomClaims.h"
 
 #include <algorithm>
 
@@ -46,6 +47,11 @@
         return !worker.isOnTrial && (now - worker.lastAnswerAt < maxAnswerAge || worker.runs.empty()) && isHealthy(worker, now);
     }
 
+    bool isAtStepLimit(const Worker& worker, const schema::StepSpecT& step, const TaskRef& ref)
+    {
+        return step.max_per_worker > 0 && countStepRuns(worker, ref) >= step.max_per_worker;
+    }
+
     RejectReason checkCapacity(const Worker& worker, const schema::StepSpecT& step)
     {
         auto sum = worker.reserved;
@@ -95,6 +101,8 @@
         return "accelerators";
     case RejectReason::MaxPerWorker:
         return "limit_on_worker";
+    case RejectReason::Claimed:
+        return "claimed";
     case RejectReason::LatencySlack:
         return "slack";
     case RejectReason::CpuHeadroom:
@@ -139,13 +147,22 @@
         return RejectReason::LabelMismatch;
     if (const auto obstacle = checkCapacity(worker, step); obstacle != RejectReason::None)
         return obstacle;
-    const bool isLimited = step.max_per_worker > 0 && countStepRuns(worker, ref) >= step.max_per_worker;
-    if (isLimited)
+    if (isAtStepLimit(worker, step, ref))
         return RejectReason::MaxPerWorker;
+    if (isClaimedAgainst(state, worker, job, ref))
+        return RejectReason::Claimed;
     const auto obstacle = step.fills ? checkFilling(state, worker, step, job.images[ref.step]) : RejectReason::None;
     return obstacle == RejectReason::None && isAdvised(state, job) ? checkPermit(state, worker, toStepRef(ref), now) : obstacle;
 }
 
+bool isEligible(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
+{
+    const auto& step = getStepSpec(job, ref.step);
+    if (!isUsable(worker, now) || !hasLabel(worker, step.required_label) || isAtStepLimit(worker, step, ref))
+        return false;
+    return !isAdvised(state, job) || findPermit(state, toStepRef(ref), worker, now);
+}
+
 RejectReason findRejectReason(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
 {
     if (worker.service.value() != getPolicy(state, job).service)
--- a/libs/scheduler/src/RejectReason.h
+++ b/libs/scheduler/src/RejectReason.h
@@ -15,6 +15,8 @@
     Memory,
     Accelerators,
     MaxPerWorker,
+    // The room is claimed for another step.
+    Claimed,
     // For a filling task: the serving tasks on the worker would be left too little slack.
     LatencySlack,
     // For a filling task: too little CPU is left.
@@ -33,6 +35,9 @@
 // The same for a worker that is known to be open and of the job's service.
 RejectReason findOpenRejectReason(const State&, const Worker&, const Job&, const TaskRef&, MonotonicTime now);
 
+// Returns true if an open worker could take a task of the step, which reserves CPU, once it had the room.
+bool isEligible(const State&, const Worker&, const Job&, const TaskRef&, MonotonicTime now);
+
 // Returns true if the worker is listed, answers polls, is in an open domain, and its free capacity is known. Placements do not change it.
 bool isOpen(const State&, const Worker&);
 
--- a/libs/scheduler/src/Urgency.cpp
+++ b/libs/scheduler/src/Urgency.cpp
@@ -18,10 +18,18 @@
         return std::ranges::any_of(job.spec->steps, [](const auto& step) { return step->long_running; });
     }
 
+    bool isUnderserved(const State& state, const Job& job)
+    {
+        const auto it = state.queueSizes.find(job.queue);
+        return it != state.queueSizes.end() && it->second.shares.isUnderserved(job.size);
+    }
+
     std::int64_t toMilliseconds(MonotonicTime time) { return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count(); }
 
 } // namespace
 
+MonotonicTime computeUselessAt(const Job& job) { return job.acceptedAt + (job.dueAt - job.acceptedAt) * lateUseFactor; }
+
 Milliseconds computeRemainingCriticalPath(const Job& job)
 {
     Milliseconds longest { 0 };
@@ -43,6 +51,10 @@
 // Earliest deadline first is optimal only while all jobs can meet their due time: under overload it serves jobs that have just become late
 // and makes the next ones late as well. Jobs that can still be on time therefore go first, followed by the late jobs whose results expire
 // soonest.
+//
+// That order favours jobs with little work: under a lasting overload they take all room before a larger job has it. The sizes of a queue
+// that have fared worse than the whole therefore go before. Of their jobs, those that have begun are finished, and the one with the most
+// time left begins, since the one that expires soonest would mostly be in vain.
 Urgency computeUrgency(const State& state, const Job& job, MonotonicTime now)
 {
     const auto priority = getPolicy(state, job).priority;
@@ -50,11 +62,16 @@
         return { priority, DeadlineStatus::Standing, toMilliseconds(job.dueAt) };
     const auto chain = computeRemainingCriticalPath(job);
     const auto chainWithMargin = std::chrono::duration_cast<Milliseconds>(chain * chainMarginFactor) + chainMargin;
+    const auto uselessAt = computeUselessAt(job);
+    if (now + chain <= uselessAt && isUnderserved(state, job)) {
+        if (job.state != schema::JobState::Queued)
+            return { priority, DeadlineStatus::UnderservedBegun, toMilliseconds(uselessAt - chain) };
+        return { priority, DeadlineStatus::Underserved, -toMilliseconds(uselessAt - chain) };
+    }
     if (now + chainWithMargin <= job.dueAt)
         return { priority, DeadlineStatus::OnTime, toMilliseconds(job.dueAt) };
-    const auto lateEnd = job.acceptedAt + (job.dueAt - job.acceptedAt) * lateUseFactor;
-    if (now + chain <= lateEnd)
-        return { priority, DeadlineStatus::Late, toMilliseconds(lateEnd - chain) };
+    if (now + chain <= uselessAt)
+        return { priority, DeadlineStatus::Late, toMilliseconds(uselessAt - chain) };
     return { priority, DeadlineStatus::Expired, toMilliseconds(job.dueAt) };
 }
 
