Follow the list of workers past an odd entry, and keep the worker that it names

Operators of similar systems saw machines end, or stop following the list of executors, at one odd entry of another writer. Here no entry ended a process, but: (1) a port of 70000 replaced the address of a known worker, whose polls then went nowhere, so that its work was given up when the lease had passed; (2) a start time far ahead made every later entry and report of the worker count as that of an earlier incarnation, and its runs count as lost in a crash; (3) amounts beyond 64 bits were converted without a check; (4) an entry that can't be read took its worker off the list; (5) an exception in the handler of one change ended the watch of its prefix. Class: values from another writer that are decoded by type but not by range, and one entry that decides on its neighbours. A worker that is known keeps its last good entry and its runs, and gets no new task until the next good one. A watcher goes on after a change that its user could not handle.

--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -24,6 +24,9 @@
 
 const char* toString(AsyncCallError);
 
+// Returns true if the client can call the address: IPv4 numbers and a port from 1 to 65535.
+bool isNumericAddress(const Address&);
+
 struct AsyncCall {
     Address address;
     std::string method = "GET";
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <netinet/tcp.h>
@@ -35,10 +36,12 @@
             return std::nullopt;
         boost::system::error_code ec;
         const auto ip = asio::ip::make_address_v4(text.substr(0, colon), ec);
-        const auto port = std::atoi(text.c_str() + colon + 1);
-        if (ec || port <= 0 || port > 65535)
+        std::uint16_t port = 0;
+        const auto* const textEnd = text.data() + text.size();
+        const auto [end, error] = std::from_chars(text.data() + colon + 1, textEnd, port);
+        if (ec || error != std::errc() || end != textEnd || port == 0)
             return std::nullopt;
-        return tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+        return tcp::endpoint(ip, port);
     }
 
     BeastRequest requestOf(const AsyncCall& call)
@@ -73,6 +76,8 @@
 
 } // namespace
 
+bool isNumericAddress(const Address& address) { return endpointOf(address).has_value(); }
+
 const char* toString(AsyncCallError error)
 {
     switch (error) {
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -19,6 +19,8 @@
     constexpr Milliseconds housekeepingInterval { 1000 };
     // A leader that is killed leaves counts out that are younger than this.
     constexpr Milliseconds sizeReportInterval { 2000 };
+    // The time of day of two machines differs by less, also while it jumps.
+    constexpr std::chrono::milliseconds maxClockDifference = std::chrono::hours(1);
     // Longer delays of the event loop are logged, at most once in each interval.
     constexpr Milliseconds reportedLoopDelay { 250 };
     constexpr Milliseconds loopDelayReportInterval { 1000 };
@@ -142,10 +144,13 @@
         logEvent(LogLevel::Info, "worker_unlisted", { { "worker", id } });
         return;
     }
-    const auto entry = m_formats.decodeWorker(key, *value);
+    auto entry = m_formats.decodeWorker(key, *value);
+    // Every later entry of the worker would count as that of an earlier incarnation.
+    if (entry && entry->born.value() > wallMs() + maxClockDifference.count())
+        entry = makeUnexpected(FormatError::OutOfRange);
     if (!entry) {
         logEvent(LogLevel::Warning, "worker_entry_unreadable", { { "worker", id }, { "reason", toString(entry.error()) } });
-        return scheduler::onWorkerUnlisted(m_state, id, now);
+        return scheduler::onWorkerEntryUnreadable(m_state, id);
     }
     scheduler::onWorkerListed(m_state, *entry, now, m_orders);
     logEvent(LogLevel::Debug, "worker_listed", { { "worker", id }, { "draining", entry->isDraining }, { "born", entry->born } });
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -48,7 +48,8 @@
         boost::asio::post(m_loop, [onResult] { onResult(scheduler::StartResult::StaleView); });
         return;
     }
-    const bool isOpen = worker->isListed && !worker->isDraining && !m_state.closedDomains.contains(worker->domain);
+    const bool isOpen
+        = worker->isListed && !worker->isEntryUnreadable && !worker->isDraining && !m_state.closedDomains.contains(worker->domain);
     const auto* permit = scheduler::findPermit(m_state, scheduler::toStepRef(order.run.task), *worker, now);
     const bool isPermitted = permit || !scheduler::isAdvised(m_state, *job);
     const auto leaseUntil = mayExtendLeases() && isOpen && isPermitted ? scheduler::extendLease(m_state, *worker, now) : std::nullopt;
--- a/libs/node/src/PrefixWatcher.cpp
+++ b/libs/node/src/PrefixWatcher.cpp
@@ -1,5 +1,7 @@
 #include "node/PrefixWatcher.h"
 
+#include "base/Log.h"
+
 namespace kingcuploom::node {
 
 namespace {
@@ -130,7 +132,12 @@
         m_knownRevisions[key] = revision;
     else
         m_knownRevisions.erase(it);
-    m_callbacks.onChange(key, value, revision);
+    // The listing and the next watch do not depend on what the user makes of one entry.
+    try {
+        m_callbacks.onChange(key, value, revision);
+    } catch (const std::exception& error) {
+        logEvent(LogLevel::Error, "store_change_failed", { { "key", key }, { "revision", revision }, { "reason", error.what() } });
+    }
 }
 
 void PrefixWatcher::onFailure(StoreError error)
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -124,10 +124,12 @@
     };
     formats.workerPrefix = "worker/";
     formats.parseWorkerId = [](const std::string& key) { return scheduler::WorkerId(key); };
-    formats.decodeWorker = [](const std::string& key, const std::string&) -> Expected<scheduler::WorkerEntry, FormatError> {
+    formats.decodeWorker = [](const std::string& key, const std::string& value) -> Expected<scheduler::WorkerEntry, FormatError> {
+        if (value == "odd")
+            return makeUnexpected(FormatError::NotReadable);
         scheduler::WorkerEntry entry;
         entry.id = scheduler::WorkerId(key);
-        entry.born = scheduler::IncarnationTime(1);
+        entry.born = scheduler::IncarnationTime(value.empty() ? 1 : std::stoll(value));
         entry.service = ServiceName("service");
         entry.address = Address("10.0.0.1:1");
         entry.capacity = { 1000, 1000, 0 };
@@ -136,7 +138,7 @@
     return formats;
 }
 
-// Workers that answer polls at once and confirm each start; keeps the start messages.
+// Workers that answer polls at once, confirm each start and list what they have started; keeps the start messages.
 class FakeWorkerCalls final : public WorkerCalls {
 public:
     explicit FakeWorkerCalls(boost::asio::io_context& loop)
@@ -146,9 +148,10 @@
 
     std::vector<StartMessage> starts;
 
-    void start(const WorkerTarget&, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
+    void start(const WorkerTarget& target, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
     {
         starts.push_back(message);
+        m_running[target.id].push_back({ message.run, {}, 50, 100 });
         boost::asio::post(m_loop, [callback] { callback(scheduler::StartResult::Started); });
     }
 
@@ -157,10 +160,11 @@
         boost::asio::post(m_loop, [callback] { callback(scheduler::StopResult::Accepted); });
     }
 
-    void poll(const WorkerTarget&, const PollMessage&,
+    void poll(const WorkerTarget& target, const PollMessage&,
         std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)> callback) override
     {
-        boost::asio::post(m_loop, [callback] { callback(scheduler::PollReport { scheduler::IncarnationTime(1), 1, {}, {} }); });
+        const scheduler::PollReport report { scheduler::IncarnationTime(1), 1, m_running[target.id], {} };
+        boost::asio::post(m_loop, [callback, report] { callback(report); });
     }
 
     void pace(const WorkerTarget&, const scheduler::RunRef&, int, Revision, std::function<void(bool)> callback) override
@@ -170,6 +174,7 @@
 
 private:
     boost::asio::io_context& m_loop;
+    std::map<scheduler::WorkerId, std::vector<scheduler::ListedRun>> m_running;
 };
 
 } // namespace
@@ -463,6 +468,103 @@
     operators.stop();
 }
 
+TEST_CASE("A worker whose entry cannot be read keeps its runs and gets no new task until the entry is good again")
+{
+    // Guards against an odd entry of another writer in the list of workers: the worker counted as gone, or as another incarnation, so that
+    // its work was given up and every later entry of it was ignored (issue 30, last report).
+    const auto odd = GENERATE(std::string("odd"), std::string("9000000000000000"));
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    FakeWorkerCalls calls(loop);
+    ManualClock clock;
+    NodeMetrics metrics;
+    const auto formats = makeFormats();
+    store.put("op/config", "1");
+    store.put("worker/1", "");
+    const auto submit = [&](const char* id) {
+        auto spec = makeSpec(id);
+        spec.policy->service = "service";
+        spec.steps.push_back(std::make_unique<schema::StepSpecT>());
+        store.put(jobKey(scheduler::GraphJobId(id)), encodeJob(spec));
+    };
+    submit("a");
+    OperatorView operators(loop, store, clock, formats, [] {});
+    std::optional<Revision> term;
+    Leadership leadership(loop, store, clock, { "node", 1, 0.5, 1 }, { [&](Revision it) { term = it; }, [] {} });
+    const auto isReachedAfter = [&](const std::function<bool()>& condition) {
+        return runUntil(loop, [&] {
+            clock.advance(Milliseconds(2));
+            return condition();
+        });
+    };
+    operators.start();
+    leadership.start();
+    REQUIRE(isReachedAfter([&] { return term && operators.snapshot()->configuration; }));
+    const PlatformServices services { store, calls, nullptr, nullptr, clock, metrics };
+    const auto coordinator = std::make_shared<Coordinator>(loop, services, formats, operators, leadership, scheduler::Parameters(), *term);
+    coordinator->start();
+    REQUIRE(isReachedAfter([&] { return calls.starts.size() == 1; }));
+    store.put("worker/1", odd);
+    store.put("worker/2", "");
+    const auto& workers = coordinator->state().workers;
+    REQUIRE(isReachedAfter([&] { return workers.contains(scheduler::WorkerId("worker/2")); }));
+    const auto& worker = workers.at(scheduler::WorkerId("worker/1"));
+    CHECK(worker.isListed);
+    CHECK(worker.runs.size() == 1);
+    CHECK(worker.born == scheduler::IncarnationTime(1));
+    submit("b");
+    REQUIRE(isReachedAfter([&] { return calls.starts.size() == 2; }));
+    CHECK(worker.runs.size() == 1);
+    store.put("worker/1", "");
+    store.remove("worker/2");
+    submit("c");
+    CHECK(isReachedAfter([&] { return worker.runs.size() == 2; }));
+    coordinator->stop();
+    operators.stop();
+}
+
+TEST_CASE("A watcher goes on after a change that its user could not handle")
+{
+    // Guards against an unexpected error in one entry: the exception left the event loop's handler before the next watch was sent, and the
+    // prefix was not followed any more.
+    const bool isInListing = GENERATE(true, false);
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    BootClock clock;
+    store.put("x/0", "value");
+    if (isInListing)
+        store.put("x/1", "odd");
+    std::set<std::string> seen;
+    const auto watcher = std::make_shared<PrefixWatcher>(loop, store, clock, "x/", Milliseconds(100),
+        WatchCallbacks { [&](const std::string& key, const auto& value, Revision) {
+                            if (value == "odd")
+                                throw std::length_error("odd");
+                            seen.insert(key);
+                        },
+            [](MonotonicTime) {}, [](StoreError) {} });
+    watcher->start();
+    const auto isSeen = [&](const char* key) {
+        const auto end = std::chrono::steady_clock::now() + testTimeout / 5;
+        while (!seen.contains(key) && std::chrono::steady_clock::now() < end) {
+            try {
+                loop.restart();
+                loop.run_for(Milliseconds(2));
+            } catch (const std::length_error&) {
+                continue;
+            }
+        }
+        return seen.contains(key);
+    };
+    CHECK(isSeen("x/0"));
+    if (!isInListing)
+        store.put("x/1", "odd");
+    store.put("x/2", "value");
+    CHECK(isSeen("x/2"));
+    watcher->stop();
+    loop.restart();
+    loop.run_for(Milliseconds(20));
+}
+
 TEST_CASE("The configuration never reverts to an older version, and closed domains stay correct after the watch history is lost")
 {
     boost::asio::io_context loop { 1 };
--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -19,6 +19,9 @@
 
 void onWorkerListed(State&, const WorkerEntry&, MonotonicTime now, Orders&);
 void onWorkerUnlisted(State&, const WorkerId&, MonotonicTime now);
+// The worker's entry has been replaced by one that names no usable worker. Its runs go on, and it gets no new task until its next good
+// entry.
+void onWorkerEntryUnreadable(State&, const WorkerId&);
 
 // Returns the lease expiry to put in an order sent now, in milliseconds on the worker's clock, and updates Worker::leaseEnd. Returns
 // nothing while the worker's clock is unknown.
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -293,6 +293,8 @@
     MonotonicTime drainingSince;
     // In the platform's worker list.
     bool isListed = false;
+    // Its entry there cannot be used; the fields above are from the last good one.
+    bool isEntryUnreadable = false;
     MonotonicTime unlistedSince;
 
     // Reserved by runs that may exist. Filling tasks reserve memory and accelerators, but no CPU.
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -227,6 +227,7 @@
     worker.labels = entry.labels;
     worker.capacity = entry.capacity;
     worker.isListed = true;
+    worker.isEntryUnreadable = false;
     if (entry.isDraining && !worker.isDraining)
         worker.drainingSince = now;
     worker.isDraining = entry.isDraining;
@@ -241,6 +242,12 @@
     worker->unlistedSince = now;
 }
 
+void onWorkerEntryUnreadable(State& state, const WorkerId& id)
+{
+    if (auto* worker = findWorker(state, id))
+        worker->isEntryUnreadable = true;
+}
+
 std::optional<std::int64_t> extendLease(const State& state, Worker& worker, MonotonicTime now)
 {
     if (!worker.clockMs)
--- a/libs/scheduler/src/RejectReason.cpp
+++ b/libs/scheduler/src/RejectReason.cpp
@@ -135,7 +135,8 @@
 {
     const bool isAnswering = worker.hasSeenFence && worker.missedPolls == 0;
     const bool isCapacityKnown = worker.listedBorn == worker.born && !worker.hasUnknownRuns;
-    return worker.isListed && !worker.isDraining && isAnswering && isCapacityKnown && !state.closedDomains.contains(worker.domain);
+    return worker.isListed && !worker.isEntryUnreadable && !worker.isDraining && isAnswering && isCapacityKnown
+        && !state.closedDomains.contains(worker.domain);
 }
 
 RejectReason findOpenRejectReason(const State& state, const Worker& worker, const Job& job, const TaskRef& ref, MonotonicTime now)
