Claim room only for sizes that fare worse than their queue, and for the jobs that have waited longest

Workers idled for jobs that would have found room soon. Claims by urgency are now for underserved sizes alone, and those of the jobs that were accepted first begin after a second and have to be earned first.

--- a/libs/scheduler/include/scheduler/JobSizes.h
+++ b/libs/scheduler/include/scheduler/JobSizes.h
@@ -49,8 +49,8 @@
 
 private:
     std::array<double, sizeClassCount> m_served { 1, 1, 1, 1 };
-    // Shares of the sizes in the jobs.
-    std::array<double, sizeClassCount> m_frequencies { 0.5, 0.2, 0.2, 0.1 };
+    // Numbers of recent jobs; older ones count less.
+    std::array<double, sizeClassCount> m_counts {};
 };
 
 // The sizes of a queue's jobs.
--- a/libs/scheduler/src/JobSizes.cpp
+++ b/libs/scheduler/src/JobSizes.cpp
@@ -14,9 +14,10 @@
     constexpr std::array<std::pair<double, SizeClass>, sizeClassCount - 1> upperBounds
         = { { { 0.5, SizeClass::SmallestHalf }, { 0.7, SizeClass::UpperMiddle }, { 0.9, SizeClass::UpperFifth } } };
 
-    // Weights of the newest job in the share of its size, and in the frequencies of the sizes.
+    // Weight of the newest job in the share of its size.
     constexpr double newestWeight = 1.0 / 16;
-    constexpr double newestFrequencyWeight = 1.0 / 64;
+    // By which the earlier jobs of a queue count less with each new one.
+    constexpr double countDecay = 1 - 1.0 / 64;
     // A size is underserved below this fraction of the whole. It leaves a margin to the half that operators are promised.
     constexpr double minShareOfWhole = 0.8;
 
@@ -64,14 +65,16 @@
 {
     const auto index = static_cast<std::size_t>(size);
     m_served[index] += newestWeight * ((isServed ? 1.0 : 0.0) - m_served[index]);
-    for (std::size_t i = 0; i < sizeClassCount; ++i)
-        m_frequencies[i] += newestFrequencyWeight * ((i == index ? 1.0 : 0.0) - m_frequencies[i]);
+    for (auto& count : m_counts)
+        count *= countDecay;
+    ++m_counts[index];
 }
 
 bool ServedShares::isUnderserved(SizeClass size) const
 {
-    const auto whole = std::inner_product(m_served.begin(), m_served.end(), m_frequencies.begin(), 0.0);
-    return m_served[static_cast<std::size_t>(size)] < minShareOfWhole * whole;
+    const auto jobs = std::accumulate(m_counts.begin(), m_counts.end(), 0.0);
+    const auto served = std::inner_product(m_served.begin(), m_served.end(), m_counts.begin(), 0.0);
+    return m_served[static_cast<std::size_t>(size)] * jobs < minShareOfWhole * served;
 }
 
 const char* toString(WaitCause cause)
--- a/libs/scheduler/src/RoomClaims.cpp
+++ b/libs/scheduler/src/RoomClaims.cpp
@@ -12,8 +12,9 @@
 namespace {
 
     constexpr Milliseconds updateInterval { 100 };
-    // A step claims workers once its job has waited for room for this time: a job that waits for less loses little.
+    // A step of an underserved size claims workers once its job has waited for room for this time, any other one after the longer time.
     constexpr Milliseconds minWait { 150 };
+    constexpr Milliseconds minWaitOfOldest { 1000 };
     // A worker that is being emptied for a claim idles in part, so not too many are claimed at a time.
     constexpr std::size_t maxClaimedPercent = 25;
     // The claims of the jobs that were accepted first take at most one part in this many of the workers' time.
@@ -132,14 +133,15 @@
                 ++m_workers[worker.service];
         }
 
-        // Claims workers for the claimants in their order, up to the share of the workers of their service. Room that one ending run
-        // provides needs no claim, since waiting steps get it in the same order.
+        // Claims workers for the claimants of underserved sizes in their order, up to the share of the workers of their service. Room
+        // that one ending run provides needs no claim, since waiting steps get it in the same order.
         void claim(std::vector<Claimant>& claimants)
         {
             for (auto& claimant : claimants) {
-                const auto most = countClaimable(claimant);
                 if (m_tried >= maxStepsPerUpdate)
                     return;
+                const bool isUnderserved = claimant.urgency.outlook <= DeadlineStatus::Underserved;
+                const auto most = isUnderserved ? countClaimable(claimant) : 0;
                 if (claimant.missing == 0 || most == 0)
                     continue;
                 auto offers = findStepOffers(claimant);
@@ -148,19 +150,24 @@
             }
         }
 
-        // Claims workers in the order of acceptance, one after the other, whatever room they lack, up to a part of the workers' time.
+        // Claims workers in the order of acceptance, one after the other, whatever room they lack. Before the next claim as much time of
+        // the workers has to pass as keeps the claims within their part.
         void claimForOldest(std::vector<Claimant>& claimants)
         {
-            m_state.nextOldestClaimAt = std::max(m_state.nextOldestClaimAt, m_now - updateInterval);
             for (auto& claimant : claimants) {
-                while (m_state.nextOldestClaimAt <= m_now && m_tried < maxStepsPerUpdate && claimant.missing > 0) {
+                const bool isOld = m_now - *claimant.job->roomMissingSince >= minWaitOfOldest;
+                while (isOld && m_tried < maxStepsPerUpdate && claimant.missing > 0) {
                     auto offers = countClaimable(claimant) > 0 ? findStepOffers(claimant) : std::vector<Offer>();
                     if (offers.empty())
                         break;
-                    const auto estimate = Milliseconds(getStepSpec(*claimant.job, claimant.step.step).estimate_ms);
-                    const auto used = (offers.front().room.at - m_now + estimate) * claimWorkers(claimant, offers, 1);
+                    const Milliseconds estimate(getStepSpec(*claimant.job, claimant.step.step).estimate_ms);
+                    const auto cost = offers.front().room.at - m_now + estimate;
                     const auto workers = m_workers[ServiceName(getPolicy(m_state, *claimant.job).service)];
-                    m_state.nextOldestClaimAt += std::chrono::duration_cast<MonotonicTime::duration>(used) * oldestFirstPart / workers;
+                    if (m_state.nextOldestClaimAt + minWaitOfOldest < m_now)
+                        m_state.nextOldestClaimAt = m_now + cost * oldestFirstPart / workers;
+                    if (m_state.nextOldestClaimAt > m_now)
+                        return;
+                    m_state.nextOldestClaimAt += cost * claimWorkers(claimant, offers, 1) * oldestFirstPart / workers;
                 }
             }
         }
