--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -518,8 +518,6 @@
             send(*look);
         else if (const auto* question = std::get_if<AdviceOrder>(&order))
             send(*question);
-        else if (const auto* d = std::get_if<Decision>(&order); d && getenv("DBG") && (d->event == "room_claimed" || (d->event == "run_placed" && d->run.starts_with("large"))))
-            fprintf(stderr, "%lld %s %s %s age %lld fig %lld\n", (long long)std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count() - 3600000, d->event.c_str(), d->run.c_str(), d->worker.value().c_str(), (long long)d->inputAge.count(), (long long)d->figure);
         else if (const auto* decision = std::get_if<Decision>(&order); decision && decision->event == "job_failed")
             m_failedJobs.push_back(decision->run + ' ' + decision->reason + ' ' + std::to_string(decision->figure));
     }
