--- a/libs/scheduler/tests/LargeJobTests.cpp
+++ b/libs/scheduler/tests/LargeJobTests.cpp
@@ -1,4 +1,6 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Jobs.h"
+#include "scheduler/RoomClaims.h"
 
 #include <catch2/catch.hpp>
 
@@ -103,3 +105,71 @@
     CAPTURE(seed, interval.count(), outcome.small.share(), outcome.large.share(), outcome.longestLargeWait.count());
     CHECK(outcome.large.share() >= outcome.shareOfAll() / 2);
 }
+
+TEST_CASE("Under a lasting overload of jobs that can be on time, no job waits until the load ends", "[sizes]")
+{
+    // Guards against an order without a bound on the wait: a job that has expired came after each job that could be on time, and began
+    // when the load was over (issue 30).
+    constexpr Milliseconds loadLength { 40'000 };
+    constexpr Milliseconds interval { 20 };
+    constexpr Milliseconds firstAccepted { 1000 };
+    SchedulerWorld world(8);
+    world.run(Milliseconds(200));
+    std::vector<GraphJobId> first;
+    for (int i = 0; i < loadLength / interval; ++i) {
+        const auto id = "job" + std::to_string(10'000 + i);
+        world.submit(makeJobSpec(id, { .counts = { 3 }, .cpuMillis = 1000, .estimateMs = smallMs }));
+        if (i < firstAccepted / interval)
+            first.emplace_back(id);
+        world.run(interval);
+    }
+    const auto ended = std::ranges::count_if(first, [&](const auto& id) { return hasEnded(world.state().jobs.at(id)); });
+    CHECK(ended == static_cast<std::ptrdiff_t>(first.size()));
+}
+
+TEST_CASE("Claimed room is kept from tasks that would use it, and from no others", "[sizes]")
+{
+    SchedulerWorld world(1);
+    world.run(Milliseconds(200));
+    auto& state = world.state();
+    auto& worker = state.workers.at(SchedulerWorld::workerId(0));
+    const MonotonicTime now { std::chrono::hours(1) };
+    const auto addWaiting = [&](const char* id, const JobOptions& options) -> const Job& {
+        return *addJob(state, makeJobSpec(id, options), nullptr, {}, now, 0);
+    };
+    const auto& small = addWaiting("small", { .cpuMillis = 1000 });
+    const auto& large = addWaiting("large", { .cpuMillis = 3500 });
+    const auto& filling = addWaiting("filling", { .cpuMillis = 1000, .isFilling = true });
+    const auto refOf = [](const Job& job) { return TaskRef { job.id, 0, 0, 0 }; };
+    const RoomClaim claim { toStepRef(refOf(large)), getPolicy(state, large).priority, { 3500, 0, 0 }, 1 };
+    worker.claim = claim;
+    CHECK(isClaimedAgainst(state, worker, small, refOf(small)));
+    CHECK(!isClaimedAgainst(state, worker, large, refOf(large)));
+    CHECK(!isClaimedAgainst(state, worker, filling, refOf(filling)));
+    // Of a queue with a lower priority.
+    worker.claim->priority = getPolicy(state, small).priority + 1;
+    CHECK(!isClaimedAgainst(state, worker, small, refOf(small)));
+    // Beside the claimed room.
+    worker.claim = claim;
+    worker.claim->demand.cpuMillis = 3000;
+    CHECK(!isClaimedAgainst(state, worker, small, refOf(small)));
+}
+
+TEST_CASE("A size is underserved while clearly fewer of its jobs are served than of the queue", "[sizes]")
+{
+    ServedShares shares;
+    const auto addAll = [&](int count, bool areLargeServed) {
+        for (int i = 0; i < count; ++i)
+            shares.add(i % 10 == 9 ? SizeClass::LargestTenth : SizeClass::SmallestHalf, i % 10 != 9 || areLargeServed);
+    };
+    addAll(100, false);
+    CHECK(shares.isUnderserved(SizeClass::LargestTenth));
+    CHECK(!shares.isUnderserved(SizeClass::SmallestHalf));
+    addAll(300, true);
+    CHECK(!shares.isUnderserved(SizeClass::LargestTenth));
+    // A queue that is served badly as a whole has no underserved size if its jobs are of one.
+    ServedShares single;
+    for (int i = 0; i < 50; ++i)
+        single.add(SizeClass::UpperMiddle, i % 4 == 0);
+    CHECK(!single.isUnderserved(SizeClass::UpperMiddle));
+}
