--- a/libs/scheduler/src/JobSizes.cpp
+++ b/libs/scheduler/src/JobSizes.cpp
@@ -54,8 +54,9 @@
     m_recent.push_back(work);
     m_sorted.insert(std::ranges::upper_bound(m_sorted, work), work);
     // The middle of the equal ones, so that jobs of the same work are of the same size.
-    const auto equal = std::ranges::equal_range(m_sorted, work);
-    const auto middle = static_cast<double>((equal.begin() - m_sorted.begin()) + (equal.end() - m_sorted.begin())) / 2;
+    const auto firstEqual = std::ranges::lower_bound(m_sorted, work) - m_sorted.begin();
+    const auto endEqual = std::ranges::upper_bound(m_sorted, work) - m_sorted.begin();
+    const auto middle = static_cast<double>(firstEqual + endEqual) / 2;
     const auto rank = middle / static_cast<double>(m_sorted.size());
     const auto* it = std::ranges::find_if(upperBounds, [&](const auto& bound) { return rank < bound.first; });
     return it == upperBounds.end() ? SizeClass::LargestTenth : it->second;
