--- a/libs/scheduler/src/RoomClaims.cpp
+++ b/libs/scheduler/src/RoomClaims.cpp
@@ -19,6 +19,8 @@
     constexpr std::size_t maxClaimedPercent = 25;
     // The claims of the jobs that were accepted first take at most one part in this many of the workers' time.
     constexpr int oldestFirstPart = 16;
+    // Time that is charged for one of these claims at most, as declared run times are far off at times.
+    constexpr Milliseconds maxChargedTime { 2000 };
     // Room that one ending run provides needs no claim: it goes to the waiting steps in the order of their urgency.
     constexpr unsigned minReleases = 2;
     // Bounds the time of one update. The next update continues.
@@ -161,7 +163,8 @@
                     if (offers.empty())
                         break;
                     const Milliseconds estimate(getStepSpec(*claimant.job, claimant.step.step).estimate_ms);
-                    const auto cost = offers.front().room.at - m_now + estimate;
+                    const MonotonicTime::duration time = offers.front().room.at - m_now + estimate;
+                    const auto cost = std::min<MonotonicTime::duration>(time, maxChargedTime);
                     const auto workers = m_workers[ServiceName(getPolicy(m_state, *claimant.job).service)];
                     if (m_state.nextOldestClaimAt + minWaitOfOldest < m_now)
                         m_state.nextOldestClaimAt = m_now + cost * oldestFirstPart / workers;
--- a/libs/scheduler/tests/LargeJobTests.cpp
+++ b/libs/scheduler/tests/LargeJobTests.cpp
@@ -109,7 +109,10 @@
 TEST_CASE("Under a lasting overload of jobs that can be on time, no job waits until the load ends", "[sizes]")
 {
     // Guards against an order without a bound on the wait: a job that has expired came after each job that could be on time, and began
-    // when the load was over (issue 30).
+    // when the load was over (issue 30). A job that declares a run time of a day must not use up the turn of all others.
+    const bool hasDayLongJob = GENERATE(false, true);
+    constexpr std::uint32_t dayMs = 86'400'000;
+    constexpr int dayLongJobAt = 5;
     constexpr Milliseconds loadLength { 40'000 };
     constexpr Milliseconds interval { 20 };
     constexpr Milliseconds firstAccepted { 1000 };
@@ -121,6 +124,8 @@
         world.submit(makeJobSpec(id, { .counts = { 3 }, .cpuMillis = 1000, .estimateMs = smallMs }));
         if (i < firstAccepted / interval)
             first.emplace_back(id);
+        if (i == dayLongJobAt && hasDayLongJob)
+            world.submit(makeJobSpec("day", { .counts = { 1 }, .cpuMillis = 3500, .estimateMs = dayMs }));
         world.run(interval);
     }
     const auto ended = std::ranges::count_if(first, [&](const auto& id) { return hasEnded(world.state().jobs.at(id)); });
