Let the jobs that were accepted first claim room only after four seconds

The jobs that were accepted first are mostly of no use any more when room is contended for a few seconds. The bound on the wait needs the turn only in a lasting overload, so it begins later. scheduler_tests hold, the test of the bound among them.

--- a/libs/scheduler/src/RoomClaims.cpp
+++ b/libs/scheduler/src/RoomClaims.cpp
@@ -14,7 +14,7 @@
     constexpr Milliseconds updateInterval { 100 };
     // A step of an underserved size claims workers once its job has waited for room for this time, any other one after the longer time.
     constexpr Milliseconds minWait { 150 };
-    constexpr Milliseconds minWaitOfOldest { 1000 };
+    constexpr Milliseconds minWaitOfOldest { 4000 };
     // A worker that is being emptied for a claim idles in part, so not too many are claimed at a time.
     constexpr std::size_t maxClaimedPercent = 25;
     // The claims of the jobs that were accepted first take at most one part in this many of the workers' time.
