Do not repeat the trial of a task that has passed it

Cause: a task with three crashes of any kind needs a trial until it has executed for a minute. A standing task that is lost with its worker again and again, beside tasks that crash it, therefore took one of the two places for trials for one to two seconds after each loss. A trial only covers the first second of a run, so the second one shows nothing new.

Change: a task whose run has executed for a second on trial has passed, and needs another one only after the next early crash. The bounds on crashes stay as they are.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -143,6 +143,8 @@
     std::uint32_t crashes = 0;
     // Those of them whose worker certainly crashed, before the run was seen to execute for some time.
     std::uint32_t earlyCrashes = 0;
+    // Since the last early crash a run on trial has executed for some time, so another trial would show nothing new. Not stored.
+    bool hasPassedTrial = false;
 };
 
 struct Task {
--- a/libs/scheduler/src/Suspects.cpp
+++ b/libs/scheduler/src/Suspects.cpp
@@ -88,9 +88,12 @@
                 executed = std::max(executed, computeExecutedTime(run, *worker));
         }
         auto& history = task.crashHistory;
-        if (executed < earlyTime || (history.earlyCrashes == 0 && executed < clearTime))
+        if (executed < earlyTime)
             return;
         job.hasPassedTrial = job.hasPassedTrial || needsTrial(task);
+        history.hasPassedTrial = history.hasPassedTrial || needsTrial(task);
+        if (history.earlyCrashes == 0 && executed < clearTime)
+            return;
         history.earlyCrashes = 0;
         if (executed >= clearTime)
             history.crashes = 0;
@@ -128,6 +131,7 @@
     // A start that the worker has not confirmed may not have reached it. A trial shows nothing if another cause may have ended it.
     const bool hasOtherCause = !loss.isAlone || loss.recentStarts > 1;
     const bool isConclusive = !hasOtherCause || history.earlyCrashes < earlyCrashesBeforeTrial;
+    history.hasPassedTrial = history.hasPassedTrial && !isEarly;
     if (isEarly && run->startConfirmedAt && loss.kind == LossKind::Crashed && isConclusive)
         ++history.earlyCrashes;
     state.suspects.insert(ref.task);
@@ -157,7 +161,8 @@
 
 bool needsTrial(const Task& task)
 {
-    return task.crashHistory.earlyCrashes >= earlyCrashesBeforeTrial || task.crashHistory.crashes >= crashesBeforeTrial;
+    const auto& history = task.crashHistory;
+    return history.earlyCrashes >= earlyCrashesBeforeTrial || (history.crashes >= crashesBeforeTrial && !history.hasPassedTrial);
 }
 
 bool isCrashLimitReached(const Task& task)
--- a/libs/scheduler/tests/CrashingTaskTests.cpp
+++ b/libs/scheduler/tests/CrashingTaskTests.cpp
@@ -146,6 +146,45 @@
     CHECK(world.violations().empty());
 }
 
+// Found by the soak (seeds 20, 46 and 601): on a small fleet with many such tasks, two tasks at a time were on trial, among them standing
+// tasks that had passed it before, and jobs of other tasks waited for more than half a minute.
+TEST_CASE("Jobs on a small fleet are over soon after many tasks have crashed their workers", "[crashes]")
+{
+    constexpr unsigned smallFleet = 6;
+    constexpr int rounds = 80;
+    constexpr int roundsPerCrashingJob = 6;
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        SchedulerWorld world(smallFleet, seed);
+        world.setInventoryAvailable(true);
+        for (int i = 0; i < 10; ++i)
+            world.submit(makeJobSpec("standing" + std::to_string(i), { .counts = { 2 }, .cpuMillis = 400, .isLongRunning = true }));
+        world.run(Milliseconds(500));
+        int bad = 0;
+        int good = 0;
+        for (int i = 0; i < rounds; ++i) {
+            if (i % roundsPerCrashingJob == 0) {
+                const auto count = static_cast<std::uint32_t>(1 + random() % 3);
+                world.setCrashing("bad" + std::to_string(bad), { 0, 1, 2 });
+                world.submit(makeJobSpec("bad" + std::to_string(bad++), { .counts = { count }, .cpuMillis = 400, .estimateMs = 200 }));
+            }
+            for (int j = 0; j < 4; ++j) {
+                const auto count = static_cast<std::uint32_t>(1 + random() % 3);
+                const auto workMs = static_cast<std::uint32_t>(50 + random() % 500);
+                world.submit(
+                    makeJobSpec("good" + std::to_string(good++), { .counts = { count, count }, .cpuMillis = 400, .estimateMs = workMs }));
+            }
+            world.run(Milliseconds(250));
+        }
+        const auto areJobsOver = [&] {
+            return haveEnded(world, "bad", bad, schema::JobState::Failed) && haveEnded(world, "good", good, schema::JobState::Completed);
+        };
+        CHECK(world.runUntil(areJobsOver, Milliseconds(30'000)));
+        CHECK(world.violations().empty());
+    }
+}
+
 // Guards against a bound that holds only for tasks that crash their worker at once.
 TEST_CASE("A task that crashes its worker some seconds after each start is given up", "[crashes]")
 {
@@ -324,3 +363,19 @@
     CHECK(task.crashHistory.crashes == 0);
     CHECK(run.state().suspects.empty());
 }
+
+// Guards against standing tasks that take a trial's place for a second after each loss, although no trial can show a crash that comes late.
+TEST_CASE("A task that has passed its trial needs no other one until the next early crash", "[crashes]")
+{
+    OneRun run;
+    auto& task = *findTask(run.state(), run.ref.task);
+    task.crashHistory = { 3, 0 };
+    run.state().suspects.insert(run.ref.task);
+    CHECK(needsTrial(task));
+    run.world.run(Milliseconds(3000));
+    CHECK_FALSE(needsTrial(task));
+    CHECK(task.crashHistory.crashes == 3);
+    findRun(run.state(), run.ref)->startConfirmedAt = run.worker().reportedAt;
+    countCrash(run.state(), run.ref, { LossKind::Crashed, true, 1 }, run.now);
+    CHECK(needsTrial(task));
+}
