Charge a crash to the tasks that had just started, not to one that has executed before

Callers of standing tasks beside tasks that crash their executor could see their job shown as failed without a cause of its own: five crashes end a task, and each early loss of a restarted standing task counted, whatever else had just started there.

Cause: the age of the run alone decided whether a task can be the cause of an early crash, not what its earlier runs had shown.

Change: a task of which a run has executed for a second, and which has had no early loss since, is no likely cause while another task has just started on the worker. Only the first early loss is excused, so a task that begins to crash its workers after it has executed is still bounded: one crash more.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -143,8 +143,9 @@
     std::uint32_t crashes = 0;
     // Those of them whose worker certainly crashed, before the run was seen to execute for some time.
     std::uint32_t earlyCrashes = 0;
-    // Since the last early crash a run on trial has executed for some time, so another trial would show nothing new. Not stored.
-    bool hasPassedTrial = false;
+    // The last run that was not lost early has executed for some time, so another task is the likelier cause of the next early crash, and a
+    // trial would show nothing new. Not stored.
+    bool hasExecuted = false;
 };
 
 struct Task {
--- a/libs/scheduler/src/Suspects.cpp
+++ b/libs/scheduler/src/Suspects.cpp
@@ -5,6 +5,7 @@
 #include "scheduler/Runs.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuploom::scheduler {
 
@@ -91,7 +92,7 @@
         if (executed < earlyTime)
             return;
         job.hasPassedTrial = job.hasPassedTrial || needsTrial(task);
-        history.hasPassedTrial = history.hasPassedTrial || needsTrial(task);
+        history.hasExecuted = true;
         if (history.earlyCrashes == 0 && executed < clearTime)
             return;
         history.earlyCrashes = 0;
@@ -105,8 +106,9 @@
 std::size_t countRecentStarts(State& state, const Worker& worker)
 {
     return static_cast<std::size_t>(std::ranges::count_if(worker.runs, [&](const RunRef& ref) {
-        const auto* run = findRun(state, ref);
-        return run && mayHaveExecuted(*run) && computeExecutedTime(*run, worker) < earlyTime;
+        const auto [job, task, run] = findRunEntry(state, ref);
+        const bool isRecent = run && mayHaveExecuted(*run) && computeExecutedTime(*run, worker) < earlyTime;
+        return isRecent && !task->crashHistory.hasExecuted;
     }));
 }
 
@@ -122,16 +124,17 @@
         return;
     const auto* worker = findWorker(state, run->worker);
     const bool isEarly = !worker || computeExecutedTime(*run, *worker) < earlyTime;
-    if (!isEarly && (!loss.isAlone || loss.recentStarts > 0))
-        return;
-    run->isCrashCounted = true;
     auto& history = task->crashHistory;
+    // Only the first early crash after such an execution, so that a task which begins to crash its workers is not started without a bound.
+    const bool hasExecuted = std::exchange(history.hasExecuted, !isEarly);
+    run->isCrashCounted = true;
+    if ((!isEarly || hasExecuted) && (!loss.isAlone || loss.recentStarts > 0))
+        return;
     ++history.crashes;
     preferOtherWorkers(*task, run->worker);
     // A start that the worker has not confirmed may not have reached it. A trial shows nothing if another cause may have ended it.
     const bool hasOtherCause = !loss.isAlone || loss.recentStarts > 1;
     const bool isConclusive = !hasOtherCause || history.earlyCrashes < earlyCrashesBeforeTrial;
-    history.hasPassedTrial = history.hasPassedTrial && !isEarly;
     if (isEarly && run->startConfirmedAt && loss.kind == LossKind::Crashed && isConclusive)
         ++history.earlyCrashes;
     state.suspects.insert(ref.task);
@@ -162,7 +165,7 @@
 bool needsTrial(const Task& task)
 {
     const auto& history = task.crashHistory;
-    return history.earlyCrashes >= earlyCrashesBeforeTrial || (history.crashes >= crashesBeforeTrial && !history.hasPassedTrial);
+    return history.earlyCrashes >= earlyCrashesBeforeTrial || (history.crashes >= crashesBeforeTrial && !history.hasExecuted);
 }
 
 bool isCrashLimitReached(const Task& task)
--- a/libs/scheduler/tests/CrashingTaskTests.cpp
+++ b/libs/scheduler/tests/CrashingTaskTests.cpp
@@ -337,6 +337,35 @@
     CHECK(findTask(world.state(), taskOf("new"))->crashHistory.crashes == 1);
 }
 
+// Found in the logs of the soak (seed 601): standing tasks that had executed for seconds before their last worker was lost came within one
+// crash of being given up for tasks that were started beside them, and made the trials of those inconclusive.
+TEST_CASE("A crash counts for a task that has executed before only if nothing else has just started, or if it is the second", "[crashes]")
+{
+    SchedulerWorld world(1);
+    world.setInventoryAvailable(true);
+    const auto isRunning = [&](const std::string& job) { return world.runningCount(job) == 1; };
+    const auto crashSoon = [&] {
+        REQUIRE(world.runUntil([&] { return isRunning("old") && isRunning("new"); }, Milliseconds(3000)));
+        world.run(Milliseconds(60));
+        world.crashWorker(0);
+        world.run(Milliseconds(700));
+    };
+    world.submit(makeJobSpec("old", { .counts = { 1 }, .isLongRunning = true }));
+    REQUIRE(world.runUntil([&] { return isRunning("old"); }, Milliseconds(1000)));
+    world.run(Milliseconds(2000));
+    world.submit(makeJobSpec("new", { .counts = { 1 }, .isLongRunning = true }));
+    crashSoon();
+    const auto& old = findTask(world.state(), taskOf("old"))->crashHistory;
+    CHECK(old.crashes == 0);
+    crashSoon();
+    CHECK(old.crashes == 0);
+    CHECK(findTask(world.state(), taskOf("new"))->crashHistory.earlyCrashes == 2);
+    // It has not executed for long since the last crash, so it may have become the cause.
+    findTask(world.state(), taskOf("new"))->crashHistory = {};
+    crashSoon();
+    CHECK(old.earlyCrashes == 1);
+}
+
 TEST_CASE("A run that ends on its worker clears its task", "[crashes]")
 {
     OneRun run;
