--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -5,11 +5,15 @@
 #include "scheduler/Urgency.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace kingcuploom::scheduler {
 
 namespace {
 
+    // Bound on the tasks of the occurrences of a job that are open at the same time. Further occurrences that are due wait for them.
+    constexpr std::size_t maxOpenTasks = 4096;
+
     Occurrence makeOccurrence(const schema::GraphJobSpecT& spec)
     {
         Occurrence occurrence;
@@ -37,6 +41,15 @@
 
     std::uint32_t getOccurrenceCount(const schema::GraphJobSpecT& spec) { return std::max(spec.repeat_count, 1U); }
 
+    std::uint32_t countOpenable(const Job& job)
+    {
+        const auto addCount = [](std::size_t sum, const auto& step) { return sum + step->count; };
+        const auto tasks = std::accumulate(job.spec->steps.begin(), job.spec->steps.end(), std::size_t { 0 }, addCount);
+        const auto most = std::max<std::size_t>(maxOpenTasks / std::max<std::size_t>(tasks, 1), 1);
+        const auto open = job.openedOccurrences - job.doneOccurrences;
+        return static_cast<std::uint32_t>(most - std::min<std::size_t>(most, open));
+    }
+
     std::int64_t getDueWallMs(const schema::GraphJobSpecT& spec, std::uint32_t occurrence)
     {
         return spec.repeat_count == 0 ? 0 : spec.start_at_ms + static_cast<std::int64_t>(occurrence) * spec.period_ms;
@@ -188,7 +201,8 @@
     if (hasEnded(job))
         return false;
     bool hasOpened = false;
-    while (job.openedOccurrences < getOccurrenceCount(*job.spec) && getDueWallMs(*job.spec, job.openedOccurrences) <= wallMs) {
+    const auto end = std::min(getOccurrenceCount(*job.spec), job.openedOccurrences + countOpenable(job));
+    while (job.openedOccurrences < end && getDueWallMs(*job.spec, job.openedOccurrences) <= wallMs) {
         job.occurrences.emplace(job.openedOccurrences++, makeOccurrence(*job.spec));
         hasOpened = true;
     }
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -108,3 +108,19 @@
     REQUIRE(world.runUntil([&] { return world.runningCount("a") == 2; }, Milliseconds(1000)));
     CHECK(world.runUntil([&] { return world.storedState("a") == JobState::Running; }, Milliseconds(500)));
 }
+
+// Guards against one submission that ends each leader in turn: all occurrences that were due were opened at once, a million of them as
+// well.
+TEST_CASE("A recurring job of which more is due than can be executed opens its occurrences bit by bit")
+{
+    SchedulerWorld world(2);
+    const auto spec = makeJobSpec("a", { .counts = { 2 }, .estimateMs = 20 });
+    spec->repeat_count = 200'000;
+    spec->period_ms = 1;
+    world.submit(spec);
+    world.run(Milliseconds(1000));
+    const auto& job = world.state().jobs.at(GraphJobId("a"));
+    CHECK(job.doneOccurrences > 0);
+    CHECK(job.openedOccurrences <= job.doneOccurrences + 2048);
+    CHECK(job.openedOccurrences >= job.doneOccurrences + 2000);
+}
