--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -19,8 +19,6 @@
     constexpr Milliseconds housekeepingInterval { 1000 };
     // A leader that is killed leaves counts out that are younger than this.
     constexpr Milliseconds sizeReportInterval { 2000 };
-    // The time of day of two machines differs by less, also while it jumps.
-    constexpr std::chrono::milliseconds maxClockDifference = std::chrono::hours(1);
     // Longer delays of the event loop are logged, at most once in each interval.
     constexpr Milliseconds reportedLoopDelay { 250 };
     constexpr Milliseconds loopDelayReportInterval { 1000 };
@@ -145,8 +143,7 @@
         return;
     }
     auto entry = m_formats.decodeWorker(key, *value);
-    // Every later entry of the worker would count as that of an earlier incarnation.
-    if (entry && entry->born.value() > wallMs() + maxClockDifference.count())
+    if (entry && !scheduler::isPlausible(entry->born, wallMs()))
         entry = makeUnexpected(FormatError::OutOfRange);
     if (!entry) {
         logEvent(LogLevel::Warning, "worker_entry_unreadable", { { "worker", id }, { "reason", toString(entry.error()) } });
--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -17,6 +17,10 @@
     bool isDraining = false;
 };
 
+// Returns false for a start time that lies too far ahead to be one: every later entry and report of the worker would count as that of an
+// earlier incarnation.
+bool isPlausible(IncarnationTime, std::int64_t wallMs);
+
 void onWorkerListed(State&, const WorkerEntry&, MonotonicTime now, Orders&);
 void onWorkerUnlisted(State&, const WorkerId&, MonotonicTime now);
 // The worker's entry has been replaced by one that names no usable worker. Its runs go on, and it gets no new task until its next good
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+    // The time of day of two machines differs by less, also while it jumps.
+    constexpr Milliseconds maxClockDifference = std::chrono::hours(1);
     // Long-poll time at a worker. It bounds the age of progress and tail latency readings.
     constexpr Milliseconds pollWait { 1000 };
     // Shorter where serving and filling tasks share a worker, because paces are derived from the tail latencies.
@@ -210,6 +212,8 @@
 
 } // namespace
 
+bool isPlausible(IncarnationTime born, std::int64_t wallMs) { return born.value() <= wallMs + maxClockDifference.count(); }
+
 void onWorkerListed(State& state, const WorkerEntry& entry, MonotonicTime now, Orders& orders)
 {
     auto& worker = state.workers[entry.id];
@@ -268,6 +272,10 @@
     if (!worker)
         return;
     worker->isPollInFlight = false;
+    if (!isPlausible(report.born, wallMs)) {
+        orders.emplace_back(Decision { "worker_report_refused", {}, id, "start_time", {}, report.born.value() });
+        return onPollFailure(state, id, PollFailure::Refused, now);
+    }
     if (report.born < worker->born)
         return;
     if (report.born > worker->born)
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -124,3 +124,22 @@
     CHECK(job.openedOccurrences <= job.doneOccurrences + 2048);
     CHECK(job.openedOccurrences >= job.doneOccurrences + 2000);
 }
+
+// Guards against a worker whose runs count as lost in a crash, and whose every later report counts as that of an earlier incarnation.
+TEST_CASE("A report with a start time that lies far ahead changes nothing")
+{
+    SchedulerWorld world(1);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .isLongRunning = true }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(1000)));
+    auto& state = world.state();
+    auto& worker = state.workers.at(SchedulerWorld::workerId(0));
+    const auto born = worker.born;
+    const auto now = worker.lastAnswerAt + Milliseconds(10);
+    constexpr std::int64_t wallMs = 1'700'000'000'000;
+    Orders orders;
+    onPollReport(state, worker.id, { .born = IncarnationTime(9'000'000'000'000), .clockMs = 1 }, now, now, wallMs, orders);
+    CHECK(worker.born == born);
+    CHECK(worker.runs.size() == 1);
+    CHECK(worker.missedPolls == 1);
+    CHECK(orders.size() == 1);
+}
