--- a/libs/http/include/http/Json.h
+++ b/libs/http/include/http/Json.h
@@ -17,6 +17,8 @@
 
 // nullptr when the text is not one JSON value.
 Json parseJson(std::string_view text);
+// Reads each number as a real one, so that an integer beyond 64 bits does not make the whole text unreadable.
+Json parseJsonWithReals(std::string_view text);
 std::string dumpJson(const json_t*);
 
 // Fields of an object. A field that is absent or of another type gives the fallback; nullptr and other values have no fields.
--- a/libs/http/src/Json.cpp
+++ b/libs/http/src/Json.cpp
@@ -6,9 +6,17 @@
 
 namespace kingcuploom::http {
 
-Json parseJson(std::string_view text)
+namespace {
+
+    constexpr std::size_t parseFlags = JSON_REJECT_DUPLICATES | JSON_DECODE_ANY;
+
+} // namespace
+
+Json parseJson(std::string_view text) { return Json(json_loadb(text.data(), text.size(), parseFlags, nullptr)); }
+
+Json parseJsonWithReals(std::string_view text)
 {
-    return Json(json_loadb(text.data(), text.size(), JSON_REJECT_DUPLICATES | JSON_DECODE_ANY, nullptr));
+    return Json(json_loadb(text.data(), text.size(), parseFlags | JSON_DECODE_INT_AS_REAL, nullptr));
 }
 
 std::string dumpJson(const json_t* value)
