--- a/libs/scheduler/include/scheduler/Suspects.h
+++ b/libs/scheduler/include/scheduler/Suspects.h
@@ -6,7 +6,8 @@
 
 // Attribution of crashes of workers to tasks. A task that crashes each worker that starts it takes all other runs of the worker with it, so
 // it must not be started without a bound; which of the runs on a crashed worker was the cause is not known at first. A task is suspected
-// after one crash shortly after its start, runs on trial after two, and is given up if its worker crashes alone during the trial.
+// after one crash shortly after its start, runs on trial after two, and is given up if its worker crashes alone during the trial. A task
+// that has executed for some time is not the likely cause of the next early crash if another one has just started on the worker.
 
 enum class LossKind {
     // Its process or its VM has failed and comes back.
@@ -22,11 +23,11 @@
     LossKind kind = LossKind::Unexplained;
     // No other worker fell silent at the same time.
     bool isAlone = false;
-    // Number of runs that it had just started. They are the likely cause, rather than those that it had executed for some time.
+    // Number of runs that it had just started, of tasks that are not known to execute. They are the likely cause.
     std::size_t recentStarts = 0;
 };
 
-// Returns the number of the worker's runs that no report has shown executing for some time.
+// Returns the number of the worker's runs that no report has shown executing for some time, nor an earlier run of their task.
 std::size_t countRecentStarts(State&, const Worker&);
 
 // Must be called before the runs of the worker are released.
