Claim room for as many tasks as a gang has, and compute one bound of a job's use in one place

The test gave 4 before.

SizeReport had its own copy of the factor after which a result is of no use; it asks the scheduler's function now. No behaviour changes by that.

--- a/libs/node/src/SizeReport.cpp
+++ b/libs/node/src/SizeReport.cpp
@@ -1,14 +1,12 @@
 #include "node/SizeReport.h"
 
 #include "base/Log.h"
+#include "scheduler/Urgency.h"
 
 namespace kingcuploom::node {
 
 namespace {
 
-    // A result is of no use to callers after this multiple of the time from the acceptance of the job to its due time.
-    constexpr int lateUseFactor = 3;
-
     EndOutcome toOutcome(const scheduler::Job& job)
     {
         if (job.state == schema::JobState::Failed)
@@ -17,7 +15,7 @@
             return EndOutcome::Cancelled;
         if (job.endedAt <= job.dueAt)
             return EndOutcome::OnTime;
-        return job.endedAt <= job.acceptedAt + (job.dueAt - job.acceptedAt) * lateUseFactor ? EndOutcome::Late : EndOutcome::Expired;
+        return job.endedAt <= scheduler::computeUselessAt(job) ? EndOutcome::Late : EndOutcome::Expired;
     }
 
     std::uint64_t countExtraStarts(const scheduler::Job& job)
--- a/libs/scheduler/src/RoomClaims.cpp
+++ b/libs/scheduler/src/RoomClaims.cpp
@@ -113,7 +113,7 @@
             if (!isSound(state, worker, claimant, now))
                 continue;
             // The members of a gang start together, so a worker counts with all of them that it could hold.
-            const auto mostTasks = spec.max_per_worker > 0 ? spec.max_per_worker : claimant.missing;
+            const auto mostTasks = spec.max_per_worker > 0 ? std::min(spec.max_per_worker, claimant.missing) : claimant.missing;
             const auto tasks = spec.gang ? forecast.countFitting(worker, demand, mostTasks) : 1;
             const auto room = tasks > 0 ? forecast.findRoom(worker, demand, tasks) : std::nullopt;
             if (room)
--- a/libs/scheduler/tests/LargeJobTests.cpp
+++ b/libs/scheduler/tests/LargeJobTests.cpp
@@ -160,6 +160,19 @@
     CHECK(!isClaimedAgainst(state, worker, small, refOf(small)));
 }
 
+// Guards against room that is kept from others although no task of the gang is left to use it.
+TEST_CASE("A gang claims room for as many tasks as it has, whatever a worker may take of it", "[sizes]")
+{
+    SchedulerWorld world(1);
+    world.run(Milliseconds(200));
+    world.submit(makeJobSpec("day", { .counts = { 4 }, .estimateMs = 3'600'000 }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("day") == 4; }, Milliseconds(1000)));
+    world.submit(makeJobSpec("gang", { .counts = { 2 }, .maxPerWorker = 4, .isGang = true }));
+    const auto& worker = world.state().workers.at(SchedulerWorld::workerId(0));
+    REQUIRE(world.runUntil([&] { return worker.claim.has_value(); }, Milliseconds(60'000)));
+    CHECK(worker.claim->tasks == 2);
+}
+
 TEST_CASE("A size is underserved while clearly fewer of its jobs are served than of the queue", "[sizes]")
 {
     ServedShares shares;
