Wait in the test of unreadable entries until the leader has read that the other worker is gone

node_tests failed once in a run by hand and once in ten beside a build, at the last check of "A worker whose entry cannot be read ...". Traced with a scratch build that printed the state: in 12 of 400 runs, six at a time, the third task had been placed on worker/2, whose removal the leader had not read yet; workers and jobs come in by two watches.

--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -517,6 +517,9 @@
     CHECK(worker.runs.size() == 1);
     store.put("worker/1", "");
     store.remove("worker/2");
+    // Otherwise the next task may go to worker/2 before the leader has read that it is gone.
+    const auto& other = workers.at(scheduler::WorkerId("worker/2"));
+    REQUIRE(isReachedAfter([&] { return !worker.isEntryUnreadable && !other.isListed; }));
     submit("c");
     CHECK(isReachedAfter([&] { return worker.runs.size() == 2; }));
     coordinator->stop();
