Count a failed run as an attempt, also if it was being stopped because its start was unclear

Cause: run 3 was started at 10:11:04.028 and failed at .389; the leader had no answer to three start orders, so it sent a stop (start_unclear) at 05.216 and read the end at 06.321 as failed. Since the end of such a run was counted towards the crashes of its task, before its kind was looked at, and not as one of its failures. The end was acknowledged all the same, and run 4 was placed at 16.226.

Change: a failed end counts as a failure, whatever stopped the run; only other ends count towards the crashes.

The new test gave a queued job before, and a failed one now.

--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -100,10 +100,10 @@
             return;
         if (end.kind == EndKind::Done && !getStepSpec(*job, end.run.task.step).long_running)
             completeRun(state, *job, end.run, now, wallMs, orders);
-        else if (end.kind == EndKind::GangMemberEnded || run.stopReason == StopReason::UncertainStart)
-            countOtherEnd(*task);
         else if (end.kind == EndKind::Failed)
             failTask(state, *job, end.run.task, run, now, wallMs, orders);
+        else if (end.kind == EndKind::GangMemberEnded || run.stopReason == StopReason::UncertainStart)
+            countOtherEnd(*task);
     }
 
 } // namespace
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -1,4 +1,7 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
+#include "scheduler/RunStarts.h"
+#include "scheduler/Runs.h"
 
 #include <catch2/catch.hpp>
 
@@ -143,3 +146,22 @@
     CHECK(worker.missedPolls == 1);
     CHECK(orders.size() == 1);
 }
+
+// BUDGET, found by the soak (seed 502): three starts without an answer, then a stop, and the run had failed meanwhile; the task was started
+// once more than its queue allows.
+TEST_CASE("A run that has failed counts as an attempt, also if it was being stopped because its start was unclear")
+{
+    SchedulerWorld world(1);
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .estimateMs = 60'000, .maxAttempts = 1 }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("a") == 1; }, Milliseconds(1000)));
+    auto& state = world.state();
+    const RunRef ref { { GraphJobId("a"), 0, 0, 0 }, RunNumber(1) };
+    auto& worker = state.workers.at(SchedulerWorld::workerId(0));
+    const auto now = worker.lastAnswerAt + Milliseconds(10);
+    Orders orders;
+    stopRun(state, ref, StopReason::UncertainStart, now, orders);
+    PollReport report { .born = worker.born, .clockMs = 1 };
+    report.ends.push_back({ EndNumber(1), ref, EndKind::Failed, {} });
+    onPollReport(state, worker.id, report, now, now, 0, orders);
+    CHECK(state.jobs.at(GraphJobId("a")).state == schema::JobState::Failed);
+}
