--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import re
 import secrets
 import shlex
 import shutil
@@ -188,6 +189,7 @@
 
     def finish(self, findings):
         """Writes record.txt, ends all processes and returns the exit code."""
+        findings = [task_name(text) for text in findings]
         ended = [name for name in self.daemons if self.processes[name].poll() is not None]
         for row in self.events():
             with self.lock:
@@ -196,7 +198,7 @@
         with open(self.record_path, "w", encoding="utf-8") as out:
             out.write(f"TROUBLE={int(is_troubled())}\n")
             for at, text in sorted(self.lines, key=lambda it: it[0]):
-                out.write(f"{at - self.begin:9.3f} {text}\n")
+                out.write(f"{at - self.begin:9.3f} {task_name(text)}\n")
             for text in findings:
                 out.write(f"BROKEN {text}\n")
             out.write(f"findings={len(findings)} daemons_ended_by_themselves={len(ended)}\n")
@@ -231,6 +233,11 @@
         return 0, None
 
 
+def task_name(text):
+    """Writes ID.K.STEP.INDEX as ID:K:STEP:INDEX, as an ID that ends in digits would make it look like an address."""
+    return re.sub(r"\b([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)", r"\1:\2:\3:\4", text)
+
+
 def job_id():
     return secrets.token_hex(8)
 
