Stop a run of which a start may arrive late, whatever the worker answered to later ones

The start of a run had no answer; its repetition was refused for want of room, and the leader released the run without a stop and started its task elsewhere. The first order was carried out four seconds later, beside the new run.

Cause: an answer speaks for one order, and each kind of refusal decided by itself whether an earlier order was open. Six of seven did, NoRoom did not.

Change: giveUpStart is the only way in which a refusal ends a run, and asks mayArriveLate. A run that is being stopped keeps its room and its task until the worker cannot begin it any more, so no order of it is left when the task starts again. The same on a related path: a run that the worker had listed was released when the worker restarted under its id, though a start without an answer can reach the new incarnation; it is stopped there now.

Cost: one stop and one poll for a refused repetition, none for other refusals.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -455,6 +455,8 @@
 bool hasEnded(const Job&);
 // Returns true if no start order of the run has been sent, so that no worker can execute it.
 bool isUnsent(const Run&);
+// Returns true if a start order of the run had no answer, so that the worker may still carry it out, whatever it answered to later ones.
+bool mayArriveLate(const Run&);
 // Returns the number of the job's runs that may exist on workers.
 std::size_t countRuns(const Job&);
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -65,11 +65,12 @@
             if (!run || run->born == born)
                 continue;
             const bool isOfEarlierIncarnation = run->isListed || run->phase == RunPhase::Unverified || run->born != earlier;
-            if (isOfEarlierIncarnation || isUnsent(*run)) {
+            if (isUnsent(*run) || (isOfEarlierIncarnation && !mayArriveLate(*run))) {
                 loseRun(state, ref, loss, now, orders);
                 continue;
             }
             countCrash(state, ref, loss, now);
+            run->isListed = false;
             // A stop that the earlier incarnation confirmed does not keep a delayed start from the new one.
             run->stopConfirmedAt.reset();
             run->startsExpireAt.reset();
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -104,6 +104,8 @@
 
 bool isUnsent(const Run& run) { return run.phase == RunPhase::Recording || (run.phase == RunPhase::Recorded && run.startRetries == 0); }
 
+bool mayArriveLate(const Run& run) { return run.startRetries > 0; }
+
 std::size_t countRuns(const Job& job)
 {
     std::size_t count = 0;
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -44,13 +44,21 @@
         worker->refusedUntil = now + refusalRetryDelay;
     }
 
-    void releaseRefusedRun(State& state, const RunRef& ref, MonotonicTime now, Milliseconds pause)
+    // The worker has refused the last order, or it was withheld. That says nothing of an earlier one without an answer, which the worker
+    // may still carry out: only a stop prevents it, and until then the run keeps its room and its task.
+    void giveUpStart(State& state, const RunRef& ref, const Run& run, MonotonicTime now, Orders& orders)
     {
-        if (auto* task = findTask(state, ref.task))
-            task->notBefore = std::max(task->notBefore, now + pause);
+        if (mayArriveLate(run))
+            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
         releaseRun(state, ref, now);
     }
 
+    void placeLater(State& state, const TaskRef& ref, MonotonicTime at)
+    {
+        if (auto* task = findTask(state, ref))
+            task->notBefore = std::max(task->notBefore, at);
+    }
+
     // A start for which the view is too old, whose permit has expired, or whose lease may not be extended stays recorded and is sent once
     // it can be. To place the task again instead could go on without end, because the next commit may return too late as well.
     void holdStart(State& state, const RunRef& ref, Run& run)
@@ -247,27 +255,19 @@
         return holdStart(state, ref, *run);
     case StartResult::NoTicket:
         dropPermit(state, toStepRef(ref.task), run->worker);
-        if (run->startRetries > 0)
-            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
-        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+        return giveUpStart(state, ref, *run, now, orders);
     case StartResult::NoRoom:
         if (worker)
             worker->refusedUntil = now + refusalRetryDelay;
-        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+        return giveUpStart(state, ref, *run, now, orders);
     case StartResult::Unhealthy:
     case StartResult::NotSent:
         markRefusedStart(state, ref, run->worker, now);
-        // An earlier send of the order may have arrived.
-        if (run->startRetries > 0)
-            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
-        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+        return giveUpStart(state, ref, *run, now, orders);
     case StartResult::WorkerLeaving:
         if (worker)
             worker->health.avoidUntil = now + unhealthyRetryDelay;
-        // An earlier send of the order may have arrived.
-        if (run->startRetries > 0)
-            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
-        return releaseRefusedRun(state, ref, now, Milliseconds(0));
+        return giveUpStart(state, ref, *run, now, orders);
     case StartResult::Refused:
         markUnacceptedStart(state, ref, run->worker, now, orders);
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
@@ -275,9 +275,8 @@
     case StartResult::Superseded:
     case StartResult::Late:
         markRefusedStart(state, ref, run->worker, now);
-        if (run->startRetries > 0)
-            return stopRun(state, ref, StopReason::UncertainStart, now, orders);
-        return releaseRefusedRun(state, ref, now, retryDelay);
+        placeLater(state, ref.task, now + retryDelay);
+        return giveUpStart(state, ref, *run, now, orders);
     case StartResult::NoAnswer:
         return resendStart(state, ref, *run, now, orders);
     }
--- /dev/null
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -0,0 +1,109 @@
+#include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
+#include "scheduler/Placement.h"
+#include "scheduler/RunStarts.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace kingcuploom;
+using namespace kingcuploom::scheduler;
+using namespace kingcuploom::scheduler::test;
+
+// Start orders without an answer, which a worker may carry out seconds later, whatever it has answered to newer orders of the same run.
+namespace {
+
+Run* findOnlyRun(State& state, const std::string& job)
+{
+    auto* task = findTask(state, { GraphJobId(job), 0, 0, 0 });
+    return task && task->runs.size() == 1 ? &task->runs.front() : nullptr;
+}
+
+bool isStarting(SchedulerWorld& world, const std::string& job)
+{
+    const auto* run = findOnlyRun(world.state(), job);
+    return run && run->phase == RunPhase::Starting;
+}
+
+unsigned indexOf(const WorkerId& id, unsigned workerCount)
+{
+    unsigned index = 0;
+    while (index < workerCount && SchedulerWorld::workerId(index) != id)
+        ++index;
+    return index;
+}
+
+// A worker with one run whose first start had no answer, and whose repeated start it confirmed.
+struct RepeatedStart {
+    RepeatedStart()
+    {
+        world.run(Milliseconds(200));
+        addJob(state, makeJobSpec("a", { .counts = { 1 } }), nullptr, {}, now, 0);
+        placeWaitingTasks(state, now, orders);
+        onCommitted(state, GraphJobId("a"), state.jobs.at(GraphJobId("a")).version, Revision(1));
+        sendRecordedStarts(state, now, orders);
+        onStartResult(state, ref, StartResult::NoAnswer, now, orders);
+        onStartResult(state, ref, StartResult::Started, now, orders);
+        PollReport report { .born = worker.born, .clockMs = 1 };
+        report.running.push_back({ ref, {}, 10, 0 });
+        onPollReport(state, worker.id, report, now, now, 0, orders);
+        orders.clear();
+    }
+
+    bool hasStopOrder() const
+    {
+        return std::ranges::any_of(orders, [](const Order& it) { return std::holds_alternative<StopOrder>(it); });
+    }
+
+    SchedulerWorld world { 1 };
+    State& state = world.state();
+    Worker& worker = state.workers.at(SchedulerWorld::workerId(0));
+    MonotonicTime now = worker.lastAnswerAt;
+    RunRef ref { { GraphJobId("a"), 0, 0, 0 }, RunNumber(1) };
+    Orders orders;
+};
+
+} // namespace
+
+// TWICE: a repeated start that was refused for want of room released its run at once. The first start, which had no answer, was carried out
+// later, beside the next run of the task. Each other refusal must stop the run as well.
+TEST_CASE("A run whose repeated start is refused is stopped before its task starts again", "[late]")
+{
+    const auto refusal = GENERATE(StartResult::NoRoom, StartResult::NoTicket, StartResult::Unhealthy, StartResult::NotSent,
+        StartResult::WorkerLeaving, StartResult::Fenced, StartResult::Superseded, StartResult::Late, StartResult::Refused);
+    const auto seed = GENERATE(range(1U, 9U));
+    INFO("refusal " << toString(refusal) << ", seed " << seed);
+    constexpr unsigned workerCount = 2;
+    SchedulerWorld world(workerCount, seed);
+    world.run(Milliseconds(200));
+    world.submit(makeJobSpec("a", { .counts = { 1 }, .estimateMs = 6000 }));
+    world.chances().lateOrder = 1;
+    REQUIRE(world.runUntil([&] { return isStarting(world, "a"); }, Milliseconds(2000)));
+    world.chances().lateOrder = 0;
+    const auto index = indexOf(findOnlyRun(world.state(), "a")->worker, workerCount);
+    world.setStartFault(index, refusal);
+    world.run(Milliseconds(420));
+    world.setStartFault(index, std::nullopt);
+    CHECK(world.runUntil([&] { return world.storedState("a") == schema::JobState::Completed; }, Milliseconds(30'000)));
+    INFO((world.violations().empty() ? "" : world.violations().front()));
+    CHECK(world.violations().empty());
+}
+
+// TWICE: a run that the worker had listed was released when the worker restarted. A start of it without an answer can reach the new
+// incarnation, which knows nothing of the run.
+TEST_CASE("A run with an unanswered start is stopped at the new incarnation of its worker", "[late]")
+{
+    RepeatedStart start;
+    auto entry = WorkerEntry { .id = start.worker.id, .born = IncarnationTime(start.worker.born.value() + 1) };
+    entry.service = start.worker.service;
+    entry.address = start.worker.address;
+    entry.capacity = start.worker.capacity;
+    onWorkerListed(start.state, entry, start.now, start.orders);
+    CHECK(start.hasStopOrder());
+    REQUIRE(findOnlyRun(start.state, "a"));
+    // The stop is confirmed, and the next report does not list the run: no start of it can be carried out any more.
+    onStopResult(start.state, start.ref, StopResult::Accepted, start.now + Milliseconds(2));
+    const auto later = start.now + Milliseconds(10);
+    onPollReport(start.state, start.worker.id, { .born = entry.born, .clockMs = 1 }, later, later, 0, start.orders);
+    CHECK(!findRun(start.state, start.ref));
+}
