Do not take a run for gone by a report that cannot hold all ends

Cause: a run that a report lists nowhere counts as gone, and a report holds 500 ends at most; nothing told the scheduler whether one is whole.

The ends it lists are stored and acknowledged, so the next reports bring the others, and the last of them finds the runs that really are gone. The log says when reports of a worker are cut (ends_cut, ends_complete). The same on a related path: a page of a listing in the store that names no key, though more follow, was taken for the end of the listing, so that all later keys counted as removed; it is malformed now, and the listing is repeated.

Cost: one byte in a relayed report; none in store calls.

--- a/libs/node/include/node/AsyncStore.h
+++ b/libs/node/include/node/AsyncStore.h
@@ -24,6 +24,9 @@
     Revision asOf;
 };
 
+// Returns true for a page that names no key to continue after, though more keys follow. It must not be read as the end of the list.
+inline bool isCutWithoutItems(const StorePage& page) { return page.hasMore && page.items.empty(); }
+
 struct StoreEvent {
     std::string key;
     // Empty when the key was removed.
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -159,7 +159,7 @@
     m_store.list(runPrefix, after, [self = shared_from_this(), after](const Expected<StorePage, StoreError>& page) {
         if (self->m_isStopped)
             return;
-        if (page)
+        if (page && !isCutWithoutItems(*page))
             return self->onProgressPage(*page);
         // Retries the page after a tick interval.
         self->m_tickTimer.expires_after(tickInterval);
@@ -183,7 +183,7 @@
         const GraphJobId id(progress->job);
         m_storedProgress[id] = { std::move(progress), item.revision };
     }
-    if (page.hasMore && !page.items.empty())
+    if (page.hasMore)
         return listProgress(page.items.back().key);
     m_isProgressRead = true;
     beginScheduling();
--- a/libs/node/src/PrefixWatcher.cpp
+++ b/libs/node/src/PrefixWatcher.cpp
@@ -62,6 +62,8 @@
             return;
         if (!page)
             return self->onFailure(page.error());
+        if (isCutWithoutItems(*page))
+            return self->onFailure(StoreError::Malformed);
         self->onPage(*page, self->m_listSentAt);
     });
 }
@@ -76,7 +78,7 @@
         if (m_isStopped)
             return;
     }
-    if (page.hasMore && !page.items.empty())
+    if (page.hasMore)
         return list(page.items.back().key);
     std::vector<std::string> removed;
     for (const auto& [key, revision] : m_knownRevisions) {
--- a/libs/node/tests/FakeAsyncStore.h
+++ b/libs/node/tests/FakeAsyncStore.h
@@ -25,6 +25,8 @@
     int answersToLose = 0;
     bool isHistoryLost = false;
     std::size_t pageSize = 500;
+    // Number of next pages that name no item, though more follow.
+    int emptyPages = 0;
     int commits = 0;
     // Called after each get() has read its value. Lets a test change keys between two reads.
     std::function<void(const std::string& key)> onRead;
@@ -68,6 +70,11 @@
             return respond(callback, Expected<StorePage, StoreError>(makeUnexpected(StoreError::Refused)));
         StorePage page;
         page.asOf = Revision(m_revision);
+        if (emptyPages > 0) {
+            --emptyPages;
+            page.hasMore = true;
+            return respond(callback, Expected<StorePage, StoreError>(page));
+        }
         for (const auto& [key, item] : m_items) {
             if (!key.starts_with(prefix) || key <= after)
                 continue;
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -591,6 +591,35 @@
     view.stop();
 }
 
+TEST_CASE("A prefix watcher does not take a page without items for the end of a listing")
+{
+    // Guards against keys that are reported as removed because a page of the listing could not be read.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    BootClock clock;
+    store.pageSize = 2;
+    for (int i = 0; i < 5; ++i)
+        store.put("x/" + std::to_string(i), "value");
+    std::map<std::string, bool> isThere;
+    int listings = 0;
+    WatchCallbacks callbacks;
+    callbacks.onChange = [&](const std::string& key, const auto& value, Revision) { isThere[key] = value.has_value(); };
+    callbacks.onCurrent = [&](MonotonicTime) { ++listings; };
+    callbacks.onFailure = [](StoreError) {};
+    const auto watcher = std::make_shared<PrefixWatcher>(loop, store, clock, "x/", Milliseconds(100), std::move(callbacks));
+    watcher->start();
+    REQUIRE(runUntil(loop, [&] { return listings > 0; }));
+    store.emptyPages = 1;
+    store.isHistoryLost = true;
+    const auto before = listings;
+    REQUIRE(runUntil(loop, [&] { return !store.isHistoryLost && listings > before + 1; }));
+    CHECK(isThere.size() == 5);
+    CHECK(std::ranges::all_of(isThere, [](const auto& entry) { return entry.second; }));
+    watcher->stop();
+    loop.restart();
+    loop.run_for(Milliseconds(20));
+}
+
 TEST_CASE("A prefix watcher reports the whole of a multi-page listing")
 {
     boost::asio::io_context loop { 1 };
--- a/libs/relay/src/RelayServer.cpp
+++ b/libs/relay/src/RelayServer.cpp
@@ -212,6 +212,7 @@
     reported.runs = encodeRuns(isBaseKnown ? reported.runs : RunList(), report.running, *row);
     reported.order = order.order();
     encodeEnds(report.ends, *row);
+    row->ends_cut = report.areEndsCut;
     session->results.reports.push_back(std::move(row));
     // Paces depend on the age of the readings.
     scheduleFlush(session, Milliseconds(0));
--- a/libs/relay/src/RelayedCalls.cpp
+++ b/libs/relay/src/RelayedCalls.cpp
@@ -407,7 +407,7 @@
         return makeUnexpected(PollFailure::Refused);
     }
     known = { pending.session, row.order, *runs };
-    return PollReport { scheduler::IncarnationTime(row.born_ms), row.clock_ms, std::move(*runs), std::move(*ends) };
+    return PollReport { scheduler::IncarnationTime(row.born_ms), row.clock_ms, std::move(*runs), std::move(*ends), row.ends_cut };
 }
 
 void RelayedCalls::armSweep()
--- a/libs/relay/tests/RelayedCallsTests.cpp
+++ b/libs/relay/tests/RelayedCallsTests.cpp
@@ -108,6 +108,20 @@
     CHECK(world.relayedStarts() == 1);
 }
 
+TEST_CASE("A relay passes on that a worker may have more ends than its report holds")
+{
+    // Guards against a run whose end is not listed yet being taken for one that is gone, by a leader that polls through a relay.
+    RelayWorld world(1);
+    const bool areEndsCut = GENERATE(false, true);
+    world.relays.front()->workers.report.areEndsCut = areEndsCut;
+    PollResult result;
+    world.calls.poll(makeTarget(), makePoll(), [&](const auto& it) { result = it; });
+    world.advance(Milliseconds(1));
+    REQUIRE(result);
+    REQUIRE(result->has_value());
+    CHECK((*result)->areEndsCut == areEndsCut);
+}
+
 TEST_CASE("Without a usable relay, workers are called directly")
 {
     RelayWorld world(1);
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -344,6 +344,8 @@
     EndNumber lastSeenEnd;
     EndNumber lastCommittedEnd;
     std::deque<UncommittedEnd> uncommittedEnds;
+    // The last report held as many ends as fit.
+    bool areEndsCut = false;
 
     WorkerHealth health;
     // Runs of suspected tasks that may still crash the worker; updated at each placement.
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -123,7 +123,10 @@
     IncarnationTime born;
     std::int64_t clockMs = 0;
     std::vector<ListedRun> running;
+    // In ascending order of their numbers, from the first end that is not acknowledged.
     std::vector<ListedEnd> ends;
+    // The report holds as many ends as fit. The worker may have more, so a run that is not listed may have ended as well.
+    bool areEndsCut = false;
 };
 
 enum class PollFailure {
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -44,6 +44,7 @@
         worker.paces.clear();
         worker.paceTrim = 1.0;
         worker.minSlacks.clear();
+        worker.areEndsCut = false;
         worker.hasUnknownRuns = false;
         worker.missedPolls = 0;
         worker.isShownUp = false;
@@ -115,9 +116,12 @@
             stopRun(state, listed.run, StopReason::JobEnded, now, orders);
     }
 
-    // Returns the recorded runs of the worker that its report does not list.
+    // Returns the recorded runs of the worker that neither run nor have ended, as far as its report can tell.
     std::vector<RunRef> findMissingRuns(const Worker& worker, const PollReport& report)
     {
+        // Any of them may have ended behind the last end that is listed. The next reports list it, once these are acknowledged.
+        if (report.areEndsCut)
+            return {};
         std::vector<const RunRef*> listed;
         std::ranges::transform(report.running, std::back_inserter(listed), [](const ListedRun& it) { return &it.run; });
         const auto dereference = [](const RunRef* it) -> const RunRef& { return *it; };
@@ -151,6 +155,14 @@
         releaseRun(state, ref, now);
     }
 
+    void recordEndsCut(Worker& worker, const PollReport& report, Orders& orders)
+    {
+        if (std::exchange(worker.areEndsCut, report.areEndsCut) == report.areEndsCut)
+            return;
+        orders.emplace_back(Decision { report.areEndsCut ? "ends_cut" : "ends_complete", {}, worker.id, "report_size", {},
+            static_cast<std::int64_t>(worker.uncommittedEnds.size()) });
+    }
+
     bool needsPacing(const Worker& worker) { return worker.servingCpuMillis > 0 && worker.fillingCpuMillis > 0; }
 
     // The stop of a run that never began produces no end, so a poll would wait in vain for one while the task cannot be placed again.
@@ -294,6 +306,7 @@
         if (end.number > worker->lastSeenEnd)
             onEnd(state, *worker, end, now, wallMs, orders);
     }
+    recordEndsCut(*worker, report, orders);
     worker->hasUnknownRuns = false;
     for (const auto& run : report.running)
         processListedRun(state, *worker, run, now, orders);
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -214,6 +214,8 @@
 
 void SchedulerWorld::setReportDelay(Milliseconds delay) { m_reportDelay = delay; }
 
+void SchedulerWorld::setMaxListedEnds(std::size_t count) { m_maxListedEnds = count; }
+
 void SchedulerWorld::setFrozen(unsigned index, bool isFrozen) { m_workers[index].isFrozen = isFrozen; }
 
 void SchedulerWorld::setIgnoresStops(unsigned index, bool ignoresStops) { m_workers[index].ignoresStops = ignoresStops; }
@@ -466,7 +468,9 @@
         PollReport report;
         report.born = target.born;
         report.clockMs = wallMs();
-        report.ends = target.ends;
+        report.ends.assign(
+            target.ends.begin(), target.ends.begin() + static_cast<std::ptrdiff_t>(std::min(target.ends.size(), m_maxListedEnds)));
+        report.areEndsCut = target.ends.size() >= m_maxListedEnds;
         for (const auto& [ref, execution] : target.running)
             report.running.push_back(
                 { ref, {}, execution.total.count() == 0 ? 100 : static_cast<int>(100 - execution.remaining * 100 / execution.total), 0 });
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -97,6 +97,8 @@
     void setFrozen(unsigned, bool);
     // A leader that reads the answers of polls this long after they have arrived.
     void setReportDelay(Milliseconds);
+    // Reports of workers hold at most this many ends; the others follow once these are acknowledged.
+    void setMaxListedEnds(std::size_t);
     // The worker's capacity changes while it runs, and its entry in the list of workers shows it. The worker itself does not check it.
     void setCapacity(unsigned, std::int64_t cpuMillis);
     // All workers are in rack r1 by default.
@@ -218,6 +220,7 @@
     MonotonicTime m_viewRefreshedAt;
     std::optional<Milliseconds> m_commitTime;
     Milliseconds m_reportDelay { 0 };
+    std::size_t m_maxListedEnds = 500;
     bool m_isStoreSilent = false;
     std::set<WorkerId> m_allowedWorkers;
     Milliseconds m_adviceValidity { 3000 };
