Write records that change again and again under the condition of their own revision

Cause: the write required the term alone, which stays true while the number changes; and the leader compared its number with the last one that was answered, so it did not write again.

Change: PublishedRecord. Each write requires the revision that the one before has left, adopts the current one after a conflict and is sent once more; after a write without an answer the stored value counts as unknown. Used for the waiting jobs, for what the leader has learned of interference, and for a node's entry as a relay, which had no condition at all: a late write bound it to a lease that nobody renews. The removal of expired jobs requires the revision of each record, so that a late one cannot take the record of a new job with the same id.

Cost: one more write for each record after a change of the leader and after a write without an answer.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -5,6 +5,7 @@
 #include "node/NodeMetrics.h"
 #include "node/OperatorView.h"
 #include "node/PlacementAdviser.h"
+#include "node/PublishedRecord.h"
 #include "node/Records.h"
 #include "node/SizeReport.h"
 #include "node/WorkerCalls.h"
@@ -119,8 +120,9 @@
     MonotonicTime m_housekeepingAt;
     MonotonicTime m_inventoryAt;
     bool m_isReadingInventory = false;
-    std::string m_publishedCounts;
-    bool m_isPublishingCounts = false;
+    // Records of this term: the waiting jobs of each queue, and what the leader has learned of interference.
+    std::shared_ptr<PublishedRecord> m_pendingRecord;
+    std::shared_ptr<PublishedRecord> m_interferenceRecord;
     MonotonicTime m_interferenceStoredAt;
 };
 
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -43,6 +43,9 @@
     m_state.parameters = parameters;
     m_state.term = term;
     m_state.termStartedAt = m_clock.now();
+    const std::vector<StoreCondition> isOfThisTerm { { Leadership::termKey, term } };
+    m_pendingRecord = std::make_shared<PublishedRecord>(m_store, pendingKey, isOfThisTerm);
+    m_interferenceRecord = std::make_shared<PublishedRecord>(m_store, interferenceKey, isOfThisTerm);
 }
 
 void Coordinator::start()
--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -121,9 +121,11 @@
     Transaction transaction;
     transaction.conditions.push_back({ Leadership::termKey, m_state.term });
     for (const auto& id : expired) {
+        const auto& job = m_state.jobs.at(id);
+        // A removal that is carried out late must not take the record of a new job with the same id.
+        transaction.conditions.push_back({ runKey(id), job.recordRevision });
         transaction.removals.push_back(runKey(id));
-        logEvent(LogLevel::Info, "job_forgotten",
-            { { "job", id }, { "ended_at_ms", m_state.jobs.at(id).endedWallMs }, { "term", m_state.term } });
+        logEvent(LogLevel::Info, "job_forgotten", { { "job", id }, { "ended_at_ms", job.endedWallMs }, { "term", m_state.term } });
         m_state.jobs.erase(id);
     }
     m_store.commit(transaction, [](const auto& result) {
--- a/libs/node/src/CoordinatorMaintenance.cpp
+++ b/libs/node/src/CoordinatorMaintenance.cpp
@@ -74,13 +74,7 @@
     if (learned.models.empty())
         return;
     m_interferenceStoredAt = now;
-    Transaction transaction;
-    transaction.conditions.push_back({ Leadership::termKey, m_state.term });
-    transaction.writes.push_back({ interferenceKey, encodeRecord<schema::LearnedInterference>(learned), {} });
-    m_store.commit(transaction, [](const auto& result) {
-        if (!result)
-            logEvent(LogLevel::Debug, "interference_store_failed", { { "reason", toString(result.error().error) } });
-    });
+    m_interferenceRecord->update(encodeRecord<schema::LearnedInterference>(learned));
 }
 
 void Coordinator::publishPendingCounts()
@@ -93,18 +87,7 @@
         if (count->pending > 0)
             counts.counts.push_back(std::move(count));
     }
-    auto value = encodeRecord<schema::QueueCounts>(counts);
-    if (m_isPublishingCounts || value == m_publishedCounts)
-        return;
-    m_isPublishingCounts = true;
-    Transaction transaction;
-    transaction.conditions.push_back({ Leadership::termKey, m_state.term });
-    transaction.writes.push_back({ pendingKey, value, {} });
-    m_store.commit(transaction, [self = shared_from_this(), value](const auto& result) {
-        self->m_isPublishingCounts = false;
-        if (result)
-            self->m_publishedCounts = value;
-    });
+    m_pendingRecord->update(encodeRecord<schema::QueueCounts>(counts));
 }
 
 } // namespace kingcuploom::node
--- a/libs/node/tests/FakeAsyncStore.h
+++ b/libs/node/tests/FakeAsyncStore.h
@@ -28,6 +28,8 @@
     // Number of next pages that name no item, though more follow.
     int emptyPages = 0;
     int commits = 0;
+    // The next commit that writes this key has no response and is carried out by carryOutLate().
+    std::string lateKey;
     // Called after each get() has read its value. Lets a test change keys between two reads.
     std::function<void(const std::string& key)> onRead;
     // Called for each lease that is requested, before it is granted.
@@ -105,37 +107,27 @@
 
     void commit(const Transaction& transaction, StoreCallback<Revision, TransactionFailure> callback) override
     {
-        using Result = Expected<Revision, TransactionFailure>;
         ++commits;
         if (isRefusing)
-            return respond(callback, Result(makeUnexpected(TransactionFailure { StoreError::Refused, {} })));
-        TransactionFailure conflict { StoreError::Conflict, {} };
-        bool areConditionsMet = true;
-        for (const auto& condition : transaction.conditions) {
-            const auto item = find(condition.key);
-            areConditionsMet = areConditionsMet && (item ? item->revision : Revision()) == condition.revision;
-            if (item)
-                conflict.current.push_back(*item);
-        }
-        if (!areConditionsMet)
-            return respondLater(conflictDelay, callback, Result(makeUnexpected(conflict)));
-        ++m_revision;
-        for (const auto& write : transaction.writes) {
-            m_items[write.key] = { write.key, write.value, Revision(m_revision) };
-            m_leases[write.key] = write.lease;
-            m_history.push_back({ write.key, write.value, Revision(m_revision) });
-        }
-        for (const auto& key : transaction.removals) {
-            if (m_items.erase(key) > 0)
-                m_history.push_back({ key, std::nullopt, Revision(m_revision) });
+            return respond(callback, CommitResult(makeUnexpected(TransactionFailure { StoreError::Refused, {} })));
+        if (!lateKey.empty() && std::ranges::find(transaction.writes, lateKey, &StoreWrite::key) != transaction.writes.end()) {
+            lateKey.clear();
+            m_late = transaction;
+            return respond(callback, CommitResult(makeUnexpected(TransactionFailure { StoreError::NoAnswer, {} })));
         }
+        auto result = apply(transaction);
+        if (!result)
+            return respondLater(conflictDelay, callback, result);
         if (answersToLose > 0) {
             --answersToLose;
-            return respond(callback, Result(makeUnexpected(TransactionFailure { StoreError::NoAnswer, {} })));
+            result = makeUnexpected(TransactionFailure { StoreError::NoAnswer, {} });
         }
-        respond(callback, Result(Revision(m_revision)));
+        respond(callback, result);
     }
 
+    bool isCommitLate() const { return m_late.has_value(); }
+    void carryOutLate() { apply(*std::exchange(m_late, std::nullopt)); }
+
     void grantLease(Milliseconds, StoreCallback<LeaseId> callback) override
     {
         if (onGrant)
@@ -170,6 +162,33 @@
     LeaseId getLease(const std::string& key) const { return m_leases.at(key); }
 
 private:
+    using CommitResult = Expected<Revision, TransactionFailure>;
+
+    CommitResult apply(const Transaction& transaction)
+    {
+        TransactionFailure conflict { StoreError::Conflict, {} };
+        bool areConditionsMet = true;
+        for (const auto& condition : transaction.conditions) {
+            const auto item = find(condition.key);
+            areConditionsMet = areConditionsMet && (item ? item->revision : Revision()) == condition.revision;
+            if (item)
+                conflict.current.push_back(*item);
+        }
+        if (!areConditionsMet)
+            return makeUnexpected(conflict);
+        ++m_revision;
+        for (const auto& write : transaction.writes) {
+            m_items[write.key] = { write.key, write.value, Revision(m_revision) };
+            m_leases[write.key] = write.lease;
+            m_history.push_back({ write.key, write.value, Revision(m_revision) });
+        }
+        for (const auto& key : transaction.removals) {
+            if (m_items.erase(key) > 0)
+                m_history.push_back({ key, std::nullopt, Revision(m_revision) });
+        }
+        return Revision(m_revision);
+    }
+
     template <typename Callback, typename Result> void respond(const Callback& callback, Result result)
     {
         boost::asio::post(m_loop, [callback, result] { callback(result); });
@@ -185,6 +204,7 @@
     std::map<std::string, StoreItem> m_items;
     std::map<std::string, LeaseId> m_leases;
     std::vector<StoreEvent> m_history;
+    std::optional<Transaction> m_late;
     std::int64_t m_revision = 1;
     std::int64_t m_lastLease = 0;
 };
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -526,6 +526,63 @@
     operators.stop();
 }
 
+TEST_CASE("The number of waiting jobs is right again after one of its writes was carried out late", "[record]")
+{
+    // MIXED: the number of an earlier moment stayed on all nodes for as long as the right one did not change.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    FakeWorkerCalls calls(loop);
+    ManualClock clock;
+    NodeMetrics metrics;
+    auto formats = makeFormats();
+    formats.decodeOperator = [](const std::string&, const std::string&) -> Expected<OperatorDocument, FormatError> {
+        Configuration configuration;
+        configuration.version = 1;
+        configuration.routes.push_back({ .host = "host", .prefix = "/queue/" });
+        return OperatorDocument(configuration);
+    };
+    store.put("op/config", "1");
+    int submitted = 0;
+    const auto submit = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            auto spec = makeSpec("job" + std::to_string(++submitted));
+            spec.steps.push_back(std::make_unique<schema::StepSpecT>());
+            store.put(jobKey(scheduler::GraphJobId(spec.job)), encodeJob(spec));
+        }
+    };
+    const auto countPending = [&] {
+        const auto item = store.find(pendingKey);
+        const auto counts = item ? decodeRecord<schema::QueueCounts>(item->value) : nullptr;
+        return counts && !counts->counts.empty() ? counts->counts.front()->pending : 0U;
+    };
+    OperatorView operators(loop, store, clock, formats, [] {});
+    std::optional<Revision> term;
+    Leadership leadership(loop, store, clock, { "node", 1, 0.5, 1 }, { [&](Revision it) { term = it; }, [] {} });
+    const auto isReachedAfter = [&](const std::function<bool()>& condition) {
+        return runUntil(loop, [&] {
+            clock.advance(Milliseconds(20));
+            return condition();
+        });
+    };
+    operators.start();
+    leadership.start();
+    REQUIRE(isReachedAfter([&] { return term && operators.snapshot()->configuration; }));
+    const PlatformServices services { store, calls, nullptr, nullptr, clock, metrics };
+    const auto coordinator = std::make_shared<Coordinator>(loop, services, formats, operators, leadership, scheduler::Parameters(), *term);
+    coordinator->start();
+    submit(3);
+    REQUIRE(isReachedAfter([&] { return countPending() == 3; }));
+    store.lateKey = pendingKey;
+    submit(1);
+    REQUIRE(isReachedAfter([&] { return store.isCommitLate(); }));
+    submit(8);
+    REQUIRE(isReachedAfter([&] { return countPending() == 12; }));
+    store.carryOutLate();
+    CHECK(isReachedAfter([&] { return countPending() == 12; }));
+    coordinator->stop();
+    operators.stop();
+}
+
 TEST_CASE("A watcher goes on after a change that its user could not handle")
 {
     // Guards against an unexpected error in one entry: the exception left the event loop's handler before the next watch was sent, and the
--- a/libs/relay/include/relay/RelayRegistry.h
+++ b/libs/relay/include/relay/RelayRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "node/PrefixWatcher.h"
+#include "node/PublishedRecord.h"
 #include "relay/RelayChoice.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -46,6 +47,7 @@
     RegistryCallbacks m_callbacks;
     boost::asio::steady_timer m_timer;
     Member m_self;
+    std::shared_ptr<node::PublishedRecord> m_entry;
     LeaseId m_lease;
     bool m_hasLeft = false;
     std::shared_ptr<node::PrefixWatcher> m_watcher;
--- a/libs/relay/src/RelayRegistry.cpp
+++ b/libs/relay/src/RelayRegistry.cpp
@@ -101,6 +101,7 @@
 void RelayRegistry::join(const Member& self)
 {
     m_self = self;
+    m_entry = std::make_shared<node::PublishedRecord>(m_store, memberPrefix + self.node.value());
     requestLease();
 }
 
@@ -119,9 +120,7 @@
 
 void RelayRegistry::writeEntry()
 {
-    node::Transaction transaction;
-    transaction.writes.push_back({ memberPrefix + m_self.node.value(), encodeMember(m_self), m_lease });
-    m_store.commit(transaction, [weak = weak_from_this()](const auto& result) {
+    m_entry->write(encodeMember(m_self), m_lease, [weak = weak_from_this()](const auto& result) {
         const auto self = weak.lock();
         if (!self || self->m_hasLeft)
             return;
--- a/libs/relay/tests/RelayRegistryTests.cpp
+++ b/libs/relay/tests/RelayRegistryTests.cpp
@@ -93,6 +93,22 @@
     CHECK(leader.members->size() == 1);
 }
 
+TEST_CASE("An entry that is written late does not replace the one with the lease that the node renews")
+{
+    // Guards against a relay whose entry goes with a lease that nobody renews, while the node takes itself for registered.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    RegistryFixture node(loop, store);
+    const std::string key = std::string(memberPrefix) + "relay";
+    store.lateKey = key;
+    node.registry->join(makeMember("relay"));
+    REQUIRE(runUntil(loop, [&] { return store.find(key).has_value(); }));
+    const auto lease = store.getLease(key);
+    REQUIRE(store.isCommitLate());
+    store.carryOutLate();
+    CHECK(store.getLease(key) == lease);
+}
+
 TEST_CASE("A node whose lease has lapsed registers again")
 {
     // Guards against a fleet without relays after an outage of the store in which leases lapse.
