Soak: cancelled tasks are checked within the bound in time, with long tasks and a store that turns single daemons away

The store failed for all daemons alike.

Change: CancelCheck reports a run of a cancelled job that is executed 3.4 s (cancel_ms and stop_ms) after the acknowledgement, or after a time of 3 s (contact_ms) without faults.

--- a/tests/soak/Callers.cpp
+++ b/tests/soak/Callers.cpp
@@ -30,6 +30,10 @@
     constexpr std::uint64_t minTimeToFailureMs = 500;
     constexpr std::uint64_t timeToFailureJitterMs = 3500;
     constexpr std::uint64_t cancelledPercent = 12;
+    // Longer than the bound on the time in which a cancelled task has to be gone, and shorter than the calm time of the soak.
+    constexpr std::uint64_t minLongWorkMs = 8000;
+    constexpr std::uint64_t longWorkJitterMs = 8000;
+    constexpr std::uint64_t maxTimeToCancelMs = 4000;
     constexpr std::uint64_t hundredPercent = 100;
 
     // Words of the payload that let runs fail by their own fault, fewer times than the queue allows. The job's seed is used instead of the
@@ -48,6 +52,13 @@
         return !job.isLongRunning && !job.isExpectedToFail && percent < failingOncePercent ? " fail_runs=1" : "";
     }
 
+    std::string formatJobId(std::uint64_t number)
+    {
+        std::ostringstream id;
+        id << std::hex << std::setw(16) << std::setfill('0') << number;
+        return id.str();
+    }
+
     std::string submissionBody(const JobRecord& job)
     {
         http::Json steps(json_array());
@@ -98,13 +109,40 @@
     }
 }
 
+void Callers::addCancellingCallers(unsigned count, std::uint64_t seed)
+{
+    for (unsigned i = 0; i < count; ++i)
+        m_threads.emplace_back([this, own = ~(seed * 1000 + i)] { runCancelling(own); });
+}
+
+void Callers::runCancelling(std::uint64_t seed)
+{
+    Random random(seed);
+    while (!m_isStopping) {
+        auto job = createLongJob(random);
+        submit(job, random);
+        std::this_thread::sleep_for(Milliseconds(random.below(maxTimeToCancelMs)));
+        if (job.isAccepted)
+            cancel(job.id, random);
+    }
+}
+
+JobRecord Callers::createLongJob(Random& random)
+{
+    JobRecord job;
+    job.id = formatJobId(random.next());
+    job.counts.push_back(static_cast<unsigned>(1 + random.below(3)));
+    const auto workMs = minLongWorkMs + random.below(longWorkJitterMs);
+    job.payload = "work_ms=" + std::to_string(workMs) + " cpu=" + std::to_string(taskCpuMillis) + " fail=0 stands=0";
+    m_checker.addJob(job);
+    return job;
+}
+
 JobRecord Callers::createJob(Random& random)
 {
     const auto number = random.next();
-    std::ostringstream id;
-    id << std::hex << std::setw(16) << std::setfill('0') << number;
     JobRecord job;
-    job.id = id.str();
+    job.id = formatJobId(number);
     job.isLongRunning = random.below(hundredPercent) < longRunningPercent && m_longRunningJobs++ < maxLongRunningJobs;
     job.isExpectedToFail = !job.isLongRunning && random.below(hundredPercent) < failingPercent;
     const auto steps = job.isLongRunning ? 1 : 1 + random.below(3);
--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -15,6 +15,9 @@
     Callers(const Cluster&, InvariantChecker&, unsigned count, std::uint64_t seed);
     ~Callers();
 
+    // Adds callers that submit jobs of tasks of several seconds and cancel them while these are executed, through any daemon.
+    void addCancellingCallers(unsigned count, std::uint64_t seed);
+
     // Stops submitting jobs and joins the threads.
     void stop();
     // Polls the state of each accepted job.
@@ -22,7 +25,9 @@
 
 private:
     void run(std::uint64_t seed);
+    void runCancelling(std::uint64_t seed);
     JobRecord createJob(Random&);
+    JobRecord createLongJob(Random&);
     void submit(JobRecord&, Random&);
     void cancel(const std::string& id, Random&);
     void pollState(const JobRecord&, Random&);
--- /dev/null
+++ b/tests/soak/CancelCheckTests.cpp
@@ -0,0 +1,76 @@
+#include "CancelCheck.h"
+
+#include <catch2/catch.hpp>
+
+using namespace kingcuploom::soak;
+
+namespace {
+
+constexpr std::int64_t second = 1'000'000;
+const std::string task = "a.0.0.0";
+
+// The task runs on ex0 from 2 s on, and its job's cancel request is acknowledged at 5 s.
+struct Fixture {
+    Fixture()
+    {
+        faults.end(faults.begin(0), 1 * second);
+        check.checkUpTo(1 * second, jobs);
+        check.recordStart({ 2 * second, "ex0", "start", task, 1 }, "a");
+        jobs.at("a").isCancelled = true;
+        jobs.at("a").cancelledAt = 5 * second;
+    }
+
+    std::map<std::string, JobRecord> jobs { { "a", { "a", {}, { 1 } } } };
+    FaultLog faults;
+    CancelCheck check { faults };
+};
+
+} // namespace
+
+// Guards against a check that misses a task which goes on after its cancellation (UNASKED, issue 36).
+TEST_CASE_METHOD(Fixture, "A task that is executed 3.4 s after its cancel request was acknowledged is reported once")
+{
+    check.checkUpTo(8 * second, jobs);
+    CHECK(check.violations().empty());
+    check.checkUpTo(30 * second, jobs);
+    CHECK(check.violations().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A task that ends within 3.4 s of its cancel request is not reported")
+{
+    check.checkUpTo(8 * second, jobs);
+    check.recordEnd({ 8 * second, "ex0", "end", task, 1, "stopped" }, "a");
+    check.checkUpTo(30 * second, jobs);
+    CHECK(check.violations().empty());
+    CHECK(check.checkedCount() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A task that is gone with its executor is not reported")
+{
+    check.recordDeath({ 6 * second, "ex0", "death", {}, 0, {} });
+    check.checkUpTo(30 * second, jobs);
+    CHECK(check.violations().empty());
+}
+
+// The bound counts from contact_ms after the last fault.
+TEST_CASE_METHOD(Fixture, "A cancelled task is not reported within 6.4 s of a fault, and is reported after them")
+{
+    const auto fault = faults.begin(6 * second);
+    check.checkUpTo(20 * second, jobs);
+    faults.end(fault, 20 * second);
+    check.checkUpTo(26 * second, jobs);
+    CHECK(check.violations().empty());
+    check.checkUpTo(27 * second, jobs);
+    CHECK(check.violations().size() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "A run that an executor began late is reported 6.4 s after its start")
+{
+    check.recordEnd({ 6 * second, "ex0", "end", task, 1, "stopped" }, "a");
+    check.checkUpTo(20 * second, jobs);
+    check.recordStart({ 20 * second, "ex1", "start", task, 2 }, "a");
+    check.checkUpTo(26 * second, jobs);
+    CHECK(check.violations().empty());
+    check.checkUpTo(27 * second, jobs);
+    CHECK(check.violations().size() == 1);
+}
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -23,6 +23,11 @@
     constexpr std::uint64_t maxThrottleMs = 8000;
     constexpr std::uint64_t minThrottlePauseMs = 1000;
     constexpr std::uint64_t maxThrottlePauseMs = 5000;
+    constexpr std::uint64_t refusalSeedMask = 0x5bd1e995;
+    constexpr std::uint64_t minRefusalMs = 500;
+    constexpr std::uint64_t maxRefusalMs = 8000;
+    constexpr std::uint64_t minRefusalPauseMs = 500;
+    constexpr std::uint64_t maxRefusalPauseMs = 4000;
 
     MonotonicTime steadyNow() { return std::chrono::steady_clock::now(); }
 
@@ -50,6 +55,7 @@
     , m_checker(checker)
     , m_random(seed)
     , m_throttleRandom(~seed)
+    , m_refusalRandom(seed ^ refusalSeedMask)
     , m_hasDaemonFault(cluster.size().daemons)
     , m_daemonStartedAt(cluster.size().daemons)
     , m_hasExecutorFault(cluster.size().executors)
@@ -88,6 +94,7 @@
     const auto end = steadyNow() + time;
     auto nextFault = steadyNow() + randomDuration(100, 600);
     auto nextThrottle = steadyNow() + throttlePause(m_throttleRandom);
+    auto nextRefusal = steadyNow() + soak::randomDuration(m_refusalRandom, minRefusalPauseMs, maxRefusalPauseMs);
     auto nextEventRead = steadyNow();
     while (steadyNow() < end) {
         superviseExecutors();
@@ -99,6 +106,10 @@
             throttleSomeDaemons();
             nextThrottle = steadyNow() + throttlePause(m_throttleRandom);
         }
+        if (m_hasSingleRefusals && steadyNow() >= nextRefusal) {
+            turnAwayOneDaemon();
+            nextRefusal = steadyNow() + soak::randomDuration(m_refusalRandom, minRefusalPauseMs, maxRefusalPauseMs);
+        }
         if (steadyNow() >= nextEventRead) {
             m_checker.readEvents();
             nextEventRead = steadyNow() + eventReadInterval;
@@ -247,6 +258,29 @@
     return leader;
 }
 
+void FaultInjector::turnAwayOneDaemon()
+{
+    constexpr std::uint64_t kinds = 4;
+    const auto kind = m_refusalRandom.below(kinds);
+    const auto other = static_cast<unsigned>(m_refusalRandom.below(m_cluster.size().daemons));
+    const auto time = soak::randomDuration(m_refusalRandom, minRefusalMs, maxRefusalMs);
+    if (std::exchange(m_isOneTurnedAway, true))
+        return;
+    ++m_faultCount;
+    const auto daemon = kind == 0 ? other : findLeader().value_or(other);
+    const bool isRefusing = kind < kinds - 1;
+    std::cout << "fault=turn_away daemon=" << daemon << " refused=" << isRefusing << " ms=" << time.count() << '\n';
+    auto& link = m_cluster.storeLink(daemon);
+    LinkFault fault;
+    fault.isRefusing = isRefusing;
+    fault.isBlockedToCaller = !isRefusing;
+    link.setFault(fault);
+    scheduleRecovery(time, [this, &link] {
+        link.setFault({});
+        m_isOneTurnedAway = false;
+    });
+}
+
 void FaultInjector::throttleSomeDaemons()
 {
     ++m_faultCount;
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -16,6 +16,9 @@
 public:
     FaultInjector(Cluster&, InvariantChecker&, std::uint64_t seed);
 
+    // Lets the store also turn single daemons away, mostly the leader, while it serves the others.
+    void enableSingleRefusals() { m_hasSingleRefusals = true; }
+
     // Injects faults for the given duration. Each fault ends after a random time, at the latest in finish().
     void run(Milliseconds);
     // Ends all faults, and resumes or restarts all processes. Returns false if a process could not be started.
@@ -46,6 +49,8 @@
     // Stops and resumes the daemon every 100 ms, so that it is short of processor time.
     void throttleDaemon(unsigned);
     void throttleSomeDaemons();
+    // The store refuses the calls of one daemon, or does not answer them.
+    void turnAwayOneDaemon();
     // The daemon that wrote last that it leads, if one does. A paused or cut off daemon may still be named after it was replaced.
     std::optional<unsigned> findLeader();
     void killExecutor(unsigned);
@@ -63,6 +68,9 @@
     Random m_random;
     // Separate, so that the other faults of a seed are drawn in the same order as without throttling.
     Random m_throttleRandom;
+    Random m_refusalRandom;
+    bool m_hasSingleRefusals = false;
+    bool m_isOneTurnedAway = false;
     std::vector<Recovery> m_recoveries;
     std::vector<bool> m_hasDaemonFault;
     std::vector<MonotonicTime> m_daemonStartedAt;
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -19,6 +19,8 @@
 
     constexpr Milliseconds acceptRetryDelay { 20 };
 
+    constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
     tcp::endpoint loopback(std::uint16_t port) { return { boost::asio::ip::address_v4::loopback(), port }; }
 
     enum class Direction {
@@ -96,11 +98,19 @@
                 boost::asio::buffer(pump.buf), [self = shared_from_this(), direction](const ErrorCode& ec, std::size_t n) {
                     if (ec)
                         return self->close(false);
+                    if (direction == Direction::ToTarget && self->proxy->fault.isRefusing)
+                        return self->refuse();
                     self->getPump(direction).size = n;
                     self->scheduleWrite(direction, self->proxy->fault.delay);
                 });
         }
 
+        void refuse()
+        {
+            boost::asio::async_write(
+                caller, boost::asio::buffer(refusal), [self = shared_from_this()](const ErrorCode&, std::size_t) { self->close(false); });
+        }
+
         void scheduleWrite(Direction direction, Milliseconds time)
         {
             auto& timer = *getPump(direction).timer;
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -14,6 +14,8 @@
     bool isBlockedToTarget = false;
     bool isBlockedToCaller = false;
     Milliseconds delay { 0 };
+    // Answers HTTP requests with status 503 in place of the target, and closes the connection.
+    bool isRefusing = false;
 };
 
 // TCP proxy on the loopback interface between a process and a target that it calls. Methods may be called from any thread; connections are
--- a/tests/soak/InvariantChecker.cpp
+++ b/tests/soak/InvariantChecker.cpp
@@ -52,6 +52,7 @@
     , m_folder(std::move(folder))
     , m_maxAttempts(maxAttempts)
     , m_standingTasks(m_faults, executorCount)
+    , m_cancels(m_faults)
 {
 }
 
@@ -88,7 +89,9 @@
 void InvariantChecker::recordCancelled(const std::string& id)
 {
     const std::scoped_lock lock(m_mutex);
-    m_jobs.at(id).isCancelled = true;
+    auto& job = m_jobs.at(id);
+    job.isCancelled = true;
+    job.cancelledAt = nowMicroseconds();
 }
 
 void InvariantChecker::recordState(const std::string& id, const std::string& state)
@@ -179,10 +182,12 @@
     while (!m_events.empty() && m_events.begin()->first <= upTo) {
         const auto& event = m_events.begin()->second;
         m_standingTasks.checkUpTo(event.at, m_jobs);
+        m_cancels.checkUpTo(event.at, m_jobs);
         processEvent(event);
         m_events.erase(m_events.begin());
     }
     m_standingTasks.checkUpTo(upTo, m_jobs);
+    m_cancels.checkUpTo(upTo, m_jobs);
     m_checkedUpTo = upTo;
 }
 
@@ -233,6 +238,7 @@
         return addViolation("started a task that was not submitted: " + label);
     const auto& job = it->second;
     m_standingTasks.recordStart(event, job.isLongRunning);
+    m_cancels.recordStart(event, job.id);
     if (event.how != job.payload)
         addViolation("started with a different payload: " + label);
     if (job.isRefused)
@@ -254,6 +260,7 @@
 {
     m_running[event.task].erase(event.executor);
     m_standingTasks.recordEnd(event);
+    m_cancels.recordEnd(event, parseTaskName(event.task).job);
     if (event.how != "done")
         return;
     m_done.insert(event.task);
@@ -284,6 +291,7 @@
 void InvariantChecker::processKilled(const RunEvent& event)
 {
     m_standingTasks.recordDeath(event);
+    m_cancels.recordDeath(event);
     for (auto& [task, running] : m_running)
         m_crashes[task] += static_cast<int>(running.erase(event.executor));
 }
@@ -343,6 +351,7 @@
     const std::scoped_lock lock(m_mutex);
     auto all = m_violations;
     all.insert(all.end(), m_standingTasks.violations().begin(), m_standingTasks.violations().end());
+    all.insert(all.end(), m_cancels.violations().begin(), m_cancels.violations().end());
     return all;
 }
 
@@ -352,6 +361,12 @@
     return m_startCount;
 }
 
+std::size_t InvariantChecker::checkedCancelCount() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_cancels.checkedCount();
+}
+
 StandingTaskCheck::Restarts InvariantChecker::calmRestarts() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/soak/InvariantChecker.h
+++ b/tests/soak/InvariantChecker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CancelCheck.h"
 #include "JobRecord.h"
 #include "StandingTaskCheck.h"
 #include "base/Clock.h"
@@ -47,6 +48,8 @@
     std::vector<std::string> violations() const;
     std::size_t startCount() const;
     StandingTaskCheck::Restarts calmRestarts() const;
+    // Cancelled jobs whose tasks were checked against the bound in time.
+    std::size_t checkedCancelCount() const;
 
 private:
     struct Pause {
@@ -86,6 +89,7 @@
     FaultLog m_faults;
     mutable std::mutex m_mutex;
     StandingTaskCheck m_standingTasks;
+    CancelCheck m_cancels;
     std::map<std::string, JobRecord> m_jobs;
     std::map<std::filesystem::path, std::uintmax_t> m_readOffsets;
     std::multimap<std::int64_t, RunEvent> m_events;
--- a/tests/soak/JobRecord.h
+++ b/tests/soak/JobRecord.h
@@ -26,6 +26,8 @@
     bool isRefused = false;
     bool isCancelSent = false;
     bool isCancelled = false;
+    // Time of the acknowledgement of the cancel request, in microseconds of the machine's steady clock.
+    std::int64_t cancelledAt = 0;
     std::string lastState;
     // The job is expected to fail because each of its tasks crashes the executor that starts it.
     bool crashesExecutors = false;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,7 +13,8 @@
 constexpr char usage[] = R"(Fault-injection soak test of kingcuploomd on a stand-in for the users' platform.
 
 Usage:
-  platform_soak BINARIES [--seed=N] [--seconds=N] [--daemons=N] [--executors=N] [--callers=N] [--keep]
+  platform_soak BINARIES [--seed=N] [--seconds=N] [--daemons=N] [--executors=N] [--callers=N]
+                         [--cancelling-callers=N] [--single-refusals] [--keep]
 
 Options:
   --seed=N       Seed of the faults and the load; the daemons use relays with an even one [default: 1].
@@ -21,6 +22,8 @@
   --daemons=N    Number of daemons [default: 4].
   --executors=N  Number of executors [default: 6].
   --callers=N    Number of callers [default: 4].
+  --cancelling-callers=N  Number of callers whose jobs have long tasks and are cancelled [default: 0].
+  --single-refusals       Let the store turn single daemons away.
   --keep         Keep the logs even if the run passes.
 
 Exit codes: 0 no violation, 1 an invariant was broken or a process did not restart, 2 the processes could not be started.
@@ -94,7 +97,10 @@
         return 2;
     }
     FaultInjector faults(cluster, checker, seed);
+    if (arguments.at("--single-refusals").asBool())
+        faults.enableSingleRefusals();
     Callers callers(cluster, checker, getNumber(arguments, "--callers"), seed);
+    callers.addCancellingCallers(getNumber(arguments, "--cancelling-callers"), seed);
     const bool areAllRunning = injectFaults(faults, std::chrono::seconds(getNumber(arguments, "--seconds")));
     callers.stop();
     const auto settling = waitUntilSettled(faults, callers, checker, clock);
@@ -109,7 +115,8 @@
     std::cout << "soak seed=" << seed << " faults=" << faults.faultCount() << " jobs=" << jobs.size() << " accepted=" << accepted
               << " starts=" << checker.startCount() << " calm_restarts=" << restarts.count
               << " longest_restart_ms=" << std::chrono::duration_cast<Milliseconds>(restarts.longest).count() << " all_up=" << areAllRunning
-              << " settled_ms=" << settling.time.count() << " violations=" << broken.size() << std::endl;
+              << " cancels_checked=" << checker.checkedCancelCount() << " settled_ms=" << settling.time.count()
+              << " violations=" << broken.size() << std::endl;
     cluster.processes().killAll();
     const bool isPassed = broken.empty() && areAllRunning && accepted > 0;
     if (isPassed && !arguments.at("--keep").asBool())
