Log what becomes of a cancellation, and measure the time without a leader and the age of the leader's views

Change: cancel_read with the age of the marker, which says now when it was written; run_stop_answered for the answer to each stop; vacant_ms in leadership_taken and the histogram kingcuploom_leader_vacancy_seconds; kingcuploom_watch_age_seconds for the leader's views of jobs and workers; job_watch_failed is a line of level info with the age of the view. A marker of an earlier version has no time and is read as before.

Measured: tests of node and scheduler hold. One more line for each stop.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -42,6 +42,7 @@
 
 private:
     void onJobKey(const std::string& key, const std::optional<std::string>& value, Revision);
+    void applyCancel(const scheduler::GraphJobId&, const std::string& marker);
     void onWorkerKey(const std::string& key, const std::optional<std::string>& value);
     void listProgress(const std::string& after);
     void onProgressPage(const StorePage&);
@@ -103,12 +104,14 @@
     // Records loaded before scheduling begins.
     std::map<scheduler::GraphJobId, std::shared_ptr<schema::GraphJobSpecT>> m_storedJobs;
     std::map<scheduler::GraphJobId, std::pair<std::unique_ptr<schema::GraphJobProgressT>, Revision>> m_storedProgress;
-    std::set<scheduler::GraphJobId> m_storedCancels;
+    // Values of the cancellation markers.
+    std::map<scheduler::GraphJobId, std::string> m_storedCancels;
     bool m_areJobsRead = false;
     bool m_isProgressRead = false;
     bool m_areWorkersRead = false;
     bool m_isInterferenceRead = false;
-    // The worker view includes all changes up to this time.
+    // The views of jobs and workers include all changes up to these times.
+    MonotonicTime m_jobsCurrentAt;
     MonotonicTime m_workersCurrentAt;
     bool m_isScheduling = false;
 
--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -42,6 +42,8 @@
     bool isLeading() const { return m_leadingTerm.has_value(); }
     // Send time of the latest call to the store that confirmed the leadership of this node.
     MonotonicTime confirmedAt() const { return m_confirmedAt; }
+    // Time without a leader, as far as this node has known, before it took its last term.
+    Milliseconds vacancy() const { return m_vacancy; }
     // Reports that a commit conditioned on the term, sent at this time, took effect.
     void confirm(MonotonicTime sentAt);
     // Ends the leadership after a commit has failed because the term has changed.
@@ -99,6 +101,9 @@
     MonotonicTime m_renewedAt;
     MonotonicTime m_checkSentAt;
     std::optional<MonotonicTime> m_campaignAt;
+    // Since when this node has known of no leader.
+    std::optional<MonotonicTime> m_vacantSince;
+    Milliseconds m_vacancy { 0 };
     MonotonicTime m_handoverRequestAt;
     bool m_isCampaigning = false;
     bool m_isRenewing = false;
--- a/libs/node/include/node/NodeMetrics.h
+++ b/libs/node/include/node/NodeMetrics.h
@@ -47,6 +47,10 @@
     // Jobs that have not ended, with and without a started task.
     void setWaitingJobs(const std::string& queue, const std::string& size, std::uint64_t begun, std::uint64_t notBegun);
     void setLeading(bool);
+    // Time since all changes of a watched prefix were known, while this node leads.
+    void setWatchAge(const std::string& watch, Milliseconds);
+    // Time for which this node has known of no leader before it took a term.
+    void observeVacancy(Milliseconds);
 
     // Returns all metrics in the Prometheus text format.
     std::string serialize() const;
--- a/libs/node/include/node/Records.h
+++ b/libs/node/include/node/Records.h
@@ -20,6 +20,11 @@
 std::string cancelKey(const scheduler::GraphJobId&);
 std::string runKey(const scheduler::GraphJobId&);
 
+// Value of a cancellation marker: when its node wrote it, in milliseconds since the Unix epoch.
+std::string encodeCancelMarker(std::int64_t wallMs);
+// Returns nothing for a marker without a time, as earlier versions wrote it.
+std::optional<std::int64_t> decodeCancelMarker(const std::string& value);
+
 // Parsed form of a key under jobPrefix.
 struct ParsedJobKey {
     scheduler::GraphJobId job;
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -43,6 +43,7 @@
     m_state.parameters = parameters;
     m_state.term = term;
     m_state.termStartedAt = m_clock.now();
+    m_jobsCurrentAt = m_state.termStartedAt;
     const std::vector<StoreCondition> isOfThisTerm { { Leadership::termKey, term } };
     m_pendingRecord = std::make_shared<PublishedRecord>(m_store, pendingKey, isOfThisTerm);
     m_interferenceRecord = std::make_shared<PublishedRecord>(m_store, interferenceKey, isOfThisTerm);
@@ -53,11 +54,16 @@
     const std::weak_ptr<Coordinator> weak = shared_from_this();
     WatchCallbacks jobCallbacks;
     jobCallbacks.onChange = [this](const auto& key, const auto& value, Revision revision) { onJobKey(key, value, revision); };
-    jobCallbacks.onCurrent = [this](MonotonicTime) {
+    jobCallbacks.onCurrent = [this](MonotonicTime at) {
+        m_jobsCurrentAt = std::max(m_jobsCurrentAt, at);
         if (!std::exchange(m_areJobsRead, true))
             listProgress({});
     };
-    jobCallbacks.onFailure = [](StoreError error) { logEvent(LogLevel::Debug, "job_watch_failed", { { "reason", toString(error) } }); };
+    jobCallbacks.onFailure = [this](StoreError error) {
+        const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_jobsCurrentAt);
+        logEvent(LogLevel::Info, "job_watch_failed",
+            { { "reason", toString(error) }, { "jobs_age_ms", age.count() }, { "term", m_state.term } });
+    };
     m_jobs = std::make_shared<PrefixWatcher>(m_loop, m_store, m_clock, jobPrefix, jobWatchTimeout, std::move(jobCallbacks));
     WatchCallbacks workerCallbacks;
     workerCallbacks.onChange = [this](const auto& key, const auto& value, Revision) { onWorkerKey(key, value); };
@@ -114,10 +120,10 @@
     const auto [id, isCancel] = parseJobKey(key);
     if (isCancel) {
         if (!m_isScheduling) {
-            m_storedCancels.insert(id);
+            m_storedCancels[id] = *value;
             return;
         }
-        scheduler::cancelJob(m_state, id, m_clock.now(), wallMs(), m_orders);
+        applyCancel(id, *value);
         return requestSchedulingPass();
     }
     auto spec = decodeJob(*value);
@@ -136,6 +142,16 @@
     requestSchedulingPass();
 }
 
+void Coordinator::applyCancel(const GraphJobId& id, const std::string& marker)
+{
+    const auto* job = scheduler::findJob(m_state, id);
+    const auto requestedAt = decodeCancelMarker(marker);
+    logEvent(LogLevel::Info, "cancel_read",
+        { { "job", id }, { "age_ms", requestedAt ? wallMs() - *requestedAt : 0 }, { "runs", job ? scheduler::countRuns(*job) : 0 },
+            { "known", job != nullptr }, { "term", m_state.term } });
+    scheduler::cancelJob(m_state, id, m_clock.now(), wallMs(), m_orders);
+}
+
 void Coordinator::onWorkerKey(const std::string& key, const std::optional<std::string>& value)
 {
     const auto now = m_clock.now();
@@ -221,8 +237,8 @@
         if (!m_storedJobs.contains(id))
             scheduler::addEndedJob(m_state, *record.first, record.second, now, wallMs());
     }
-    for (const auto& id : m_storedCancels)
-        scheduler::cancelJob(m_state, id, now, wallMs(), m_orders);
+    for (const auto& [id, marker] : m_storedCancels)
+        applyCancel(id, marker);
     m_storedJobs.clear();
     m_storedProgress.clear();
     m_storedCancels.clear();
@@ -293,6 +309,8 @@
         removeExpiredJobs();
         storeInterference();
         m_metrics.setIdleStandingTasks(m_state.idleStandingTasks);
+        m_metrics.setWatchAge("jobs", std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_jobsCurrentAt));
+        m_metrics.setWatchAge("workers", std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_workersCurrentAt));
     }
     if (m_clock.now() - m_sizesPublishedAt >= sizeReportInterval) {
         m_sizesPublishedAt = m_clock.now();
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -74,7 +74,7 @@
     m_calls.stop(targetOf(*worker), order.run, m_state.term, [self = shared_from_this(), order](scheduler::StopResult result) {
         if (self->m_isStopped)
             return;
-        scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now());
+        scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now(), self->m_orders);
         self->requestSchedulingPass();
     });
 }
--- a/libs/node/src/JobService.cpp
+++ b/libs/node/src/JobService.cpp
@@ -178,7 +178,8 @@
         }
         Transaction transaction;
         transaction.conditions = { { jobKey(id), (*job)->revision } };
-        transaction.writes = { { cancelKey(id), "cancel", {} } };
+        const auto wallMs = std::chrono::duration_cast<Milliseconds>(m_clock.wallNow().time_since_epoch()).count();
+        transaction.writes = { { cancelKey(id), encodeCancelMarker(wallMs), {} } };
         m_store.commit(transaction, [onDone, retry](const Expected<Revision, TransactionFailure>& result) {
             if (result)
                 return onDone(CancelOutcome::Cancelled);
--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -125,6 +125,10 @@
     m_holderNode = record ? record->node : std::string();
     m_holderIncarnation = record ? record->incarnation : 0;
     m_holderShare = record ? record->processor_share : 0;
+    if (m_holderRevision)
+        m_vacantSince.reset();
+    else if (!m_vacantSince)
+        m_vacantSince = m_clock.now();
     m_handoverRequestAt = m_clock.now() + handoverInterval;
     // A time from an earlier vacancy would let this node campaign before nodes with a larger share.
     m_campaignAt.reset();
@@ -264,7 +268,8 @@
     m_leadingTerm = term;
     m_confirmedAt = sentAt;
     m_renewedAt = sentAt;
-    logEvent(LogLevel::Info, "leadership_taken", { { "term", m_term }, { "node", m_settings.node } });
+    m_vacancy = m_vacantSince ? std::chrono::duration_cast<Milliseconds>(m_clock.now() - *m_vacantSince) : Milliseconds(0);
+    logEvent(LogLevel::Info, "leadership_taken", { { "term", m_term }, { "node", m_settings.node }, { "vacant_ms", m_vacancy.count() } });
     m_callbacks.onLeading(m_term);
 }
 
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -54,6 +54,7 @@
 {
     stopLeading();
     m_services.metrics.setLeading(true);
+    m_services.metrics.observeVacancy(m_leadership.vacancy());
     m_coordinator = std::make_shared<Coordinator>(m_loop, m_services, m_formats, m_operators, m_leadership, m_settings.scheduler, term);
     m_coordinator->start();
 }
--- a/libs/node/src/NodeMetrics.cpp
+++ b/libs/node/src/NodeMetrics.cpp
@@ -41,6 +41,12 @@
         = histogram(registry, "kingcuploom_takeover_duration_seconds", "From winning the term to scheduling");
     prometheus::Family<prometheus::Histogram>& loopDelays
         = histogram(registry, "kingcuploom_loop_delay_seconds", "Delay of the event loop's timers beyond their due time");
+    prometheus::Family<prometheus::Histogram>& vacancies
+        = histogram(registry, "kingcuploom_leader_vacancy_seconds", "Time without a leader before this node took a term");
+    prometheus::Family<prometheus::Gauge>& watchAges = prometheus::BuildGauge()
+                                                           .Name("kingcuploom_watch_age_seconds")
+                                                           .Help("Age of the leader's view of a watched prefix")
+                                                           .Register(registry);
     prometheus::Family<prometheus::Counter>& jobEnds
         = prometheus::BuildCounter().Name("kingcuploom_job_ends_total").Help("Ended jobs by queue, size and outcome").Register(registry);
     prometheus::Family<prometheus::Counter>& waits = prometheus::BuildCounter()
@@ -95,6 +101,13 @@
 
 void NodeMetrics::observeLoopDelay(Milliseconds time) { m_state->observe(m_state->loopDelays, {}, time); }
 
+void NodeMetrics::observeVacancy(Milliseconds time) { m_state->observe(m_state->vacancies, {}, time); }
+
+void NodeMetrics::setWatchAge(const std::string& watch, Milliseconds age)
+{
+    m_state->watchAges.Add({ { "watch", watch } }).Set(seconds(age));
+}
+
 void NodeMetrics::setIdleStandingTasks(std::size_t count) { m_state->idleStandingTasks.Set(static_cast<double>(count)); }
 
 void NodeMetrics::countJobEnd(const std::string& queue, const std::string& size, EndOutcome outcome)
@@ -139,6 +152,8 @@
 void NodeMetrics::addWait(const std::string&, const std::string&, const std::string&, Milliseconds) { }
 void NodeMetrics::setWaitingJobs(const std::string&, const std::string&, std::uint64_t, std::uint64_t) { }
 void NodeMetrics::setLeading(bool) { }
+void NodeMetrics::setWatchAge(const std::string&, Milliseconds) { }
+void NodeMetrics::observeVacancy(Milliseconds) { }
 std::string NodeMetrics::serialize() const { return {}; }
 
 } // namespace kingcuploom::node
--- a/libs/node/src/Records.cpp
+++ b/libs/node/src/Records.cpp
@@ -2,6 +2,8 @@
 
 #include "Compression.h"
 
+#include <charconv>
+
 namespace kingcuploom::node {
 
 namespace {
@@ -9,6 +11,7 @@
     using scheduler::GraphJobId;
 
     constexpr char cancelSuffix[] = "~cancel";
+    constexpr char cancelWord[] = "cancel ";
 
 } // namespace
 
@@ -26,6 +29,19 @@
     return { GraphJobId(name.substr(0, name.size() - std::string(cancelSuffix).size())), true };
 }
 
+std::string encodeCancelMarker(std::int64_t wallMs) { return cancelWord + std::to_string(wallMs); }
+
+std::optional<std::int64_t> decodeCancelMarker(const std::string& value)
+{
+    if (!value.starts_with(cancelWord))
+        return std::nullopt;
+    const char* begin = value.data() + std::string_view(cancelWord).size();
+    const char* end = value.data() + value.size();
+    std::int64_t wallMs = 0;
+    const auto [parsed, ec] = std::from_chars(begin, end, wallMs);
+    return ec == std::errc() && parsed == end ? std::optional(wallMs) : std::nullopt;
+}
+
 std::string encodeJob(const schema::GraphJobSpecT& spec) { return encodeRecord<schema::GraphJobSpec>(spec); }
 
 std::shared_ptr<schema::GraphJobSpecT> decodeJob(const std::string& value) { return decodeRecord<schema::GraphJobSpec>(value); }
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -207,6 +207,16 @@
     CHECK(!fixture.store.find(jobKey(scheduler::GraphJobId("a"))));
 }
 
+TEST_CASE("A cancellation marker says when it was written, and one of an earlier version does not")
+{
+    // Guards against a leader that cannot read the markers of nodes of another version, or logs a wrong age for them.
+    CHECK(decodeCancelMarker(encodeCancelMarker(1'765'000'000'123)) == 1'765'000'000'123);
+    CHECK(!decodeCancelMarker("cancel"));
+    CHECK(!decodeCancelMarker("cancel x"));
+    CHECK(!decodeCancelMarker("cancel 1 2"));
+    CHECK(!decodeCancelMarker(""));
+}
+
 TEST_CASE("Cancel and state requests for unknown, accepted and ended jobs")
 {
     ServiceFixture fixture;
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -92,6 +92,8 @@
     NoAnswer,
 };
 
+const char* toString(StopResult);
+
 enum class EndKind {
     Done,
     Failed,
--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -12,7 +12,7 @@
 void stopJobRuns(State&, const Job&, StopReason, MonotonicTime now, Orders&);
 // Sends the stop order of a run in phase Stopping again.
 void resendStop(const RunRef&, Run&, MonotonicTime now, Orders&);
-void onStopResult(State&, const RunRef&, StopResult, MonotonicTime now);
+void onStopResult(State&, const RunRef&, StopResult, MonotonicTime now, Orders&);
 
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
 void checkRuns(State&, MonotonicTime now, Orders&);
--- a/libs/scheduler/src/Orders.cpp
+++ b/libs/scheduler/src/Orders.cpp
@@ -39,6 +39,21 @@
     return "no_answer";
 }
 
+const char* toString(StopResult result)
+{
+    switch (result) {
+    case StopResult::Accepted:
+        return "accepted";
+    case StopResult::Fenced:
+        return "fenced";
+    case StopResult::Refused:
+        return "refused";
+    case StopResult::NoAnswer:
+        break;
+    }
+    return "no_answer";
+}
+
 const char* toString(EndKind kind)
 {
     switch (kind) {
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -136,11 +136,13 @@
     std::ranges::for_each(refs, [&](const RunRef& ref) { stopRun(state, ref, reason, now, orders); });
 }
 
-void onStopResult(State& state, const RunRef& ref, StopResult result, MonotonicTime now)
+void onStopResult(State& state, const RunRef& ref, StopResult result, MonotonicTime now, Orders& orders)
 {
     auto* run = findRun(state, ref);
     if (!run || run->phase != RunPhase::Stopping)
         return;
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - run->orderedAt);
+    orders.emplace_back(Decision { "run_stop_answered", toString(ref), run->worker, toString(result), age, run->percent });
     run->isOrderInFlight = false;
     run->orderedAt = now;
     if (result == StopResult::Accepted)
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -102,7 +102,7 @@
     CHECK(start.hasStopOrder());
     REQUIRE(findOnlyRun(start.state, "a"));
     // The stop is confirmed, and the next report does not list the run: no start of it can be carried out any more.
-    onStopResult(start.state, start.ref, StopResult::Accepted, start.now + Milliseconds(2));
+    onStopResult(start.state, start.ref, StopResult::Accepted, start.now + Milliseconds(2), start.orders);
     const auto later = start.now + Milliseconds(10);
     onPollReport(start.state, start.worker.id, { .born = entry.born, .clockMs = 1 }, later, later, 0, start.orders);
     CHECK(!findRun(start.state, start.ref));
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -145,7 +145,7 @@
     const auto worker = SchedulerWorld::workerId(0);
     Orders orders;
     stopRun(state, ref, StopReason::UncertainStart, now, orders);
-    onStopResult(state, ref, StopResult::Accepted, now);
+    onStopResult(state, ref, StopResult::Accepted, now, orders);
     orders.clear();
     const IncarnationTime born(state.workers.at(worker).born.value() + 1);
     onPollReport(state, worker, { .born = born, .clockMs = 1 }, now + Milliseconds(10), now + Milliseconds(20), 0, orders);
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -405,7 +405,7 @@
     const bool isAnswerLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     const auto answer = [this, generation, order](StopResult result) {
         if (generation == m_leaderGeneration)
-            onStopResult(m_state, order.run, result, m_now);
+            onStopResult(m_state, order.run, result, m_now, m_orders);
     };
     post(randomArrivalTime(), [=, this] {
         auto& target = findFakeWorker(order.worker);
