Give up a term whose jobs the leader cannot follow, though its lease is renewed

Suspected cause, shown by our own reproduction: the lease of the leader says only that it can renew a lease. A store that turned the leader's watch away (alone, or with its listings and transactions) and served the renewals left it the leadership, while it read no cancellation and no other node could begin a term.

Change: a leader that the store serves (an answer to a call for the leadership within 1.2 s), but whose watch of the jobs has had no answer for 2.7 s, or whose term has not been confirmed for 3 s, gives up its term. While the store serves none of its calls, nothing changes. The first watch after a failure waits 200 ms, so that one lost answer is no silence. The soak's refusals of single daemons can serve the leases.

"A leader keeps its term while the store serves none of its calls" guards against a change of the leader in each outage. Cost: one call more to the store for each watch that has failed.

--- a/libs/node/include/node/Coordinator.h
+++ b/libs/node/include/node/Coordinator.h
@@ -51,6 +51,8 @@
 
     void tick();
     void reportLoopDelay();
+    // Gives up the term if the store serves this node, but not its watch of the jobs.
+    void checkJobsFollowed();
     // Posts a scheduling pass unless one is pending, so that all events of one iteration of the event loop share a pass.
     void requestSchedulingPass();
     void runSchedulingPass();
--- a/libs/node/include/node/Leadership.h
+++ b/libs/node/include/node/Leadership.h
@@ -15,6 +15,18 @@
     std::uint64_t seed = 0;
 };
 
+// Why a leader gives up its term.
+enum class AbandonReason {
+    // An exception in a handler of the event loop.
+    HandlerFailed,
+    // The store serves the renewals of the lease, but neither commits nor reads of the term.
+    Unconfirmed,
+    // The store serves the calls for the leadership, but not the watch of the jobs.
+    JobsNotFollowed,
+};
+
+const char* toString(AbandonReason);
+
 struct LeadershipCallbacks {
     // This node was elected. The term is the revision of the term key.
     std::function<void(Revision term)> onLeading;
@@ -44,12 +56,14 @@
     MonotonicTime confirmedAt() const { return m_confirmedAt; }
     // Time without a leader, as far as this node has known, before it took its last term.
     Milliseconds vacancy() const { return m_vacancy; }
+    // The store has answered a call for the leadership of this node a short time ago.
+    bool isServed() const;
     // Reports that a commit conditioned on the term, sent at this time, took effect.
     void confirm(MonotonicTime sentAt);
     // Ends the leadership after a commit has failed because the term has changed.
     void stepDown();
     // Gives up the own term, for any node to begin a new one.
-    void abandonTerm();
+    void abandonTerm(AbandonReason);
 
 private:
     void onKeyChange(const std::string& key, const std::optional<std::string>& value, Revision);
@@ -99,6 +113,8 @@
     LeaseId m_claimLease;
     MonotonicTime m_confirmedAt;
     MonotonicTime m_renewedAt;
+    // Time of the last renewal that the store has confirmed.
+    MonotonicTime m_renewalConfirmedAt;
     MonotonicTime m_checkSentAt;
     std::optional<MonotonicTime> m_campaignAt;
     // Since when this node has known of no leader.
--- a/libs/node/include/node/PrefixWatcher.h
+++ b/libs/node/include/node/PrefixWatcher.h
@@ -28,6 +28,9 @@
     // Makes no callback after this call.
     void stop();
 
+    // Time of the last successful response to this watcher's calls, or of its start.
+    MonotonicTime answeredAt() const { return m_answeredAt; }
+
 private:
     void list(const std::string& after);
     void onPage(const StorePage&, MonotonicTime sentAt);
@@ -49,7 +52,10 @@
     // Revision of the first page. Later pages may miss changes after it, so the watch starts here.
     std::optional<Revision> m_listRevision;
     MonotonicTime m_listSentAt;
+    MonotonicTime m_answeredAt;
     Revision m_watchRevision;
+    // No watch has been answered since the last failed call.
+    bool m_hasFailed = false;
     bool m_isListing = true;
     bool m_isStopped = false;
 };
--- a/libs/node/src/Coordinator.cpp
+++ b/libs/node/src/Coordinator.cpp
@@ -19,6 +19,9 @@
     constexpr Milliseconds housekeepingInterval { 1000 };
     // A leader that is killed leaves counts out that are younger than this.
     constexpr Milliseconds sizeReportInterval { 2000 };
+    // Time without an answer to the watch of the jobs after which the leader gives up its term, so that cancelled tasks are stopped by
+    // another one. Without changes, a watch is answered after its timeout.
+    constexpr Milliseconds jobWatchSilenceLimit { 2700 };
     // Longer delays of the event loop are logged, at most once in each interval.
     constexpr Milliseconds reportedLoopDelay { 250 };
     constexpr Milliseconds loopDelayReportInterval { 1000 };
@@ -249,6 +252,9 @@
     if (m_isStopped)
         return;
     reportLoopDelay();
+    checkJobsFollowed();
+    if (m_isStopped)
+        return;
     if (m_isScheduling) {
         scheduler::onTick(m_state, m_clock.now(), wallMs(), m_orders);
         readInventory();
@@ -262,6 +268,16 @@
     });
 }
 
+// While the store does not serve this node at all, the lease lapses, or no node could do better.
+void Coordinator::checkJobsFollowed()
+{
+    const auto silence = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_jobs->answeredAt());
+    if (silence < jobWatchSilenceLimit || !m_leadership.isServed())
+        return;
+    logEvent(LogLevel::Warning, "jobs_not_followed", { { "silence_ms", silence.count() }, { "term", m_state.term } });
+    m_leadership.abandonTerm(AbandonReason::JobsNotFollowed);
+}
+
 void Coordinator::reportLoopDelay()
 {
     const auto now = m_clock.now();
--- a/libs/node/src/Leadership.cpp
+++ b/libs/node/src/Leadership.cpp
@@ -30,6 +30,11 @@
     constexpr Milliseconds handoverInterval { 3000 };
     // Extra campaign delay after a handover request of nodes with a smaller share than the requesting node.
     constexpr Milliseconds handoverDelay { 500 };
+    // The store counts as serving a leader for this time after an answer to a call for the leadership.
+    constexpr Milliseconds servedTime { 1200 };
+    // Time without a confirmation of the term after which a leader whose lease is renewed gives it up. Another node can then lead that the
+    // store serves in full.
+    constexpr Milliseconds unconfirmedLimit { 3000 };
     // Delay after a failed attempt, added to the campaign delay. A leader whose holder key expired during a store outage restores it before
     // candidates retry.
     constexpr Milliseconds retryDelay { 300 };
@@ -44,6 +49,19 @@
 
 } // namespace
 
+const char* toString(AbandonReason reason)
+{
+    switch (reason) {
+    case AbandonReason::HandlerFailed:
+        return "handler_failed";
+    case AbandonReason::Unconfirmed:
+        return "unconfirmed";
+    case AbandonReason::JobsNotFollowed:
+        break;
+    }
+    return "jobs_not_followed";
+}
+
 Leadership::Leadership(
     boost::asio::io_context& loop, AsyncStore& store, const Clock& clock, LeadershipSettings settings, LeadershipCallbacks callbacks)
     : m_store(store)
@@ -96,11 +114,13 @@
     m_callbacks.onLeadershipLost();
 }
 
-void Leadership::abandonTerm()
+bool Leadership::isServed() const { return m_clock.now() - std::max(m_renewalConfirmedAt, m_confirmedAt) < servedTime; }
+
+void Leadership::abandonTerm(AbandonReason reason)
 {
     if (!m_leadingTerm)
         return;
-    logEvent(LogLevel::Warning, "leadership_abandoned", { { "term", m_term } });
+    logEvent(LogLevel::Warning, "leadership_abandoned", { { "term", m_term }, { "reason", toString(reason) } });
     release([] {});
 }
 
@@ -181,6 +201,9 @@
         logEvent(LogLevel::Info, "leadership_handed_over", { { "term", m_term }, { "to", m_handoverNode } });
         release([] {});
     }
+    // The lease alone does not show that this node can lead: the store may serve its renewals and refuse its other calls.
+    if (m_leadingTerm && isServed() && now - m_confirmedAt >= unconfirmedLimit)
+        abandonTerm(AbandonReason::Unconfirmed);
     if (m_leadingTerm) {
         if (!m_isRenewing && now - m_renewedAt >= renewInterval)
             renew();
@@ -279,6 +302,8 @@
     m_renewedAt = m_clock.now();
     m_store.renewLease(m_lease, [this](const Expected<Done, StoreError>& result) {
         m_isRenewing = false;
+        if (result)
+            m_renewalConfirmedAt = m_clock.now();
         if (m_leadingTerm && !result && result.error() == StoreError::LeaseExpired)
             restoreHolderKey();
     });
--- a/libs/node/src/Node.cpp
+++ b/libs/node/src/Node.cpp
@@ -42,7 +42,7 @@
     boost::asio::post(m_loop, [this] { m_leadership.resign([] { logEvent(LogLevel::Info, "leadership_released"); }); });
 }
 
-void Node::onHandlerFailure() { m_leadership.abandonTerm(); }
+void Node::onHandlerFailure() { m_leadership.abandonTerm(AbandonReason::HandlerFailed); }
 
 bool Node::isReady() const
 {
--- a/libs/node/src/PrefixWatcher.cpp
+++ b/libs/node/src/PrefixWatcher.cpp
@@ -8,6 +8,8 @@
 
     // Delay before a retry after a failed call to the store.
     constexpr Milliseconds retryDelay { 150 };
+    // Long-poll time of the first watch after a failed call, which shows soon whether the store serves this prefix again.
+    constexpr Milliseconds firstWatchTimeout { 200 };
 
 } // namespace
 
@@ -41,7 +43,11 @@
 {
 }
 
-void PrefixWatcher::start() { list({}); }
+void PrefixWatcher::start()
+{
+    m_answeredAt = m_clock.now();
+    list({});
+}
 
 void PrefixWatcher::stop()
 {
@@ -70,6 +76,7 @@
 
 void PrefixWatcher::onPage(const StorePage& page, MonotonicTime sentAt)
 {
+    m_answeredAt = m_clock.now();
     if (!m_listRevision)
         m_listRevision = page.asOf;
     for (const auto& item : page.items) {
@@ -100,18 +107,20 @@
 void PrefixWatcher::watch()
 {
     const auto sentAt = m_clock.now();
-    m_store.watch(
-        m_prefix, m_watchRevision, m_watchTimeout, [self = shared_from_this(), sentAt](const Expected<StoreEvents, StoreError>& events) {
-            if (self->m_isStopped)
-                return;
-            if (!events)
-                return self->onFailure(events.error());
-            self->onEvents(*events, sentAt);
-        });
+    const auto timeout = m_hasFailed ? std::min(m_watchTimeout, firstWatchTimeout) : m_watchTimeout;
+    m_store.watch(m_prefix, m_watchRevision, timeout, [self = shared_from_this(), sentAt](const Expected<StoreEvents, StoreError>& events) {
+        if (self->m_isStopped)
+            return;
+        if (!events)
+            return self->onFailure(events.error());
+        self->onEvents(*events, sentAt);
+    });
 }
 
 void PrefixWatcher::onEvents(const StoreEvents& events, MonotonicTime sentAt)
 {
+    m_answeredAt = m_clock.now();
+    m_hasFailed = false;
     for (const auto& event : events.events) {
         apply(event.key, event.value, event.revision);
         if (m_isStopped)
@@ -144,6 +153,7 @@
 
 void PrefixWatcher::onFailure(StoreError error)
 {
+    m_hasFailed = true;
     m_callbacks.onFailure(error);
     if (m_isStopped)
         return;
--- a/libs/node/tests/FakeAsyncStore.h
+++ b/libs/node/tests/FakeAsyncStore.h
@@ -20,7 +20,11 @@
     {
     }
 
+    // Refuses all calls but renewals of leases.
     bool isRefusing = false;
+    bool isRefusingRenewals = false;
+    // Watches of this prefix are refused.
+    std::string refusedWatch;
     // Number of next commits that take effect but report no response.
     int answersToLose = 0;
     bool isHistoryLost = false;
@@ -93,7 +97,7 @@
         constexpr Milliseconds pause { 2 };
         const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, pause);
         timer->async_wait([this, timer, prefix, after, callback = std::move(callback)](const boost::system::error_code&) {
-            if (isRefusing)
+            if (isRefusing || prefix == refusedWatch)
                 return callback(makeUnexpected(StoreError::Refused));
             if (std::exchange(isHistoryLost, false))
                 return callback(makeUnexpected(StoreError::HistoryCompacted));
@@ -137,6 +141,8 @@
 
     void renewLease(LeaseId lease, StoreCallback<Done> callback) override
     {
+        if (isRefusingRenewals)
+            return respond(callback, Expected<Done, StoreError>(makeUnexpected(StoreError::Refused)));
         const bool isKnown = std::ranges::any_of(m_leases, [&](const auto& entry) { return entry.second == lease; });
         respond(callback, isKnown ? Expected<Done, StoreError>(Done {}) : makeUnexpected(StoreError::LeaseExpired));
     }
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -147,6 +147,7 @@
     }
 
     std::vector<StartMessage> starts;
+    std::vector<scheduler::RunRef> stops;
 
     void start(const WorkerTarget& target, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
     {
@@ -155,8 +156,11 @@
         boost::asio::post(m_loop, [callback] { callback(scheduler::StartResult::Started); });
     }
 
-    void stop(const WorkerTarget&, const scheduler::RunRef&, Revision, std::function<void(scheduler::StopResult)> callback) override
+    void stop(
+        const WorkerTarget& target, const scheduler::RunRef& run, Revision, std::function<void(scheduler::StopResult)> callback) override
     {
+        stops.push_back(run);
+        std::erase_if(m_running[target.id], [&](const scheduler::ListedRun& it) { return it.run == run; });
         boost::asio::post(m_loop, [callback] { callback(scheduler::StopResult::Accepted); });
     }
 
@@ -414,12 +418,49 @@
     leader.leadership.start();
     REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
     const auto term = *leader.term;
-    leader.leadership.abandonTerm();
+    leader.leadership.abandonTerm(AbandonReason::HandlerFailed);
     CHECK_FALSE(leader.term);
     REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
     CHECK(*leader.term > term);
 }
 
+TEST_CASE("A leader whose lease is renewed, but whose term is not confirmed, gives the term up")
+{
+    // UNASKED: the store served the renewals of a leader and refused its other calls, so that it kept the lease and read no cancellation.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    constexpr int clockRate = 10;
+    LeaderFixture leader(loop, store, "first", 1, 0.5, clockRate);
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    store.isRefusing = true;
+    CHECK(runUntil(loop, [&] { return !leader.term; }));
+    CHECK_FALSE(store.find(Leadership::holderKey));
+}
+
+TEST_CASE("A leader keeps its term while the store serves none of its calls")
+{
+    // Guards against a change of the leader in each outage of the store, in which no node could do better.
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    constexpr int clockRate = 10;
+    constexpr Milliseconds outage { 10'000 };
+    LeaderFixture leader(loop, store, "first", 1, 0.5, clockRate);
+    leader.leadership.start();
+    REQUIRE(runUntil(loop, [&] { return leader.term.has_value(); }));
+    const auto term = leader.term;
+    store.isRefusing = true;
+    store.isRefusingRenewals = true;
+    const auto end = leader.clock.now() + outage;
+    REQUIRE(runUntil(loop, [&] { return leader.clock.now() > end; }));
+    CHECK(leader.term == term);
+    store.isRefusing = false;
+    store.isRefusingRenewals = false;
+    const auto later = leader.clock.now() + outage;
+    REQUIRE(runUntil(loop, [&] { return leader.clock.now() > later; }));
+    CHECK(leader.term == term);
+}
+
 TEST_CASE("A leader whose lease has lapsed keeps its term if no other node has claimed it")
 {
     boost::asio::io_context loop { 1 };
@@ -593,6 +634,69 @@
     operators.stop();
 }
 
+TEST_CASE("A leader that cannot follow the jobs gives up its term, and the next one stops the tasks of a cancelled job")
+{
+    // UNASKED: the leader's lease was renewed while its watch of the jobs was refused, so that cancelled tasks were executed to their end.
+    const bool isStoreDown = GENERATE(false, true);
+    INFO("the store is down " << isStoreDown);
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    FakeWorkerCalls calls(loop);
+    ManualClock clock;
+    NodeMetrics metrics;
+    const auto formats = makeFormats();
+    store.put("op/config", "1");
+    store.put("worker/1", "");
+    auto spec = makeSpec("a");
+    spec.policy->service = "service";
+    spec.steps.push_back(std::make_unique<schema::StepSpecT>());
+    store.put(jobKey(scheduler::GraphJobId("a")), encodeJob(spec));
+    OperatorView operators(loop, store, clock, formats, [] {});
+    std::shared_ptr<Coordinator> coordinator;
+    std::optional<Revision> term;
+    int lostTerms = 0;
+    const auto stopLeading = [&] {
+        ++lostTerms;
+        std::exchange(coordinator, nullptr)->stop();
+    };
+    Leadership leadership(loop, store, clock, { "node", 1, 0.5, 1 }, { [&](Revision it) { term = it; }, stopLeading });
+    const auto isReachedAfter = [&](const std::function<bool()>& condition) {
+        return runUntil(loop, [&] {
+            clock.advance(Milliseconds(10));
+            if (const auto begun = std::exchange(term, std::nullopt)) {
+                const PlatformServices services { store, calls, nullptr, nullptr, clock, metrics };
+                coordinator
+                    = std::make_shared<Coordinator>(loop, services, formats, operators, leadership, scheduler::Parameters(), *begun);
+                coordinator->start();
+            }
+            return condition();
+        });
+    };
+    operators.start();
+    leadership.start();
+    REQUIRE(isReachedAfter([&] { return calls.starts.size() == 1; }));
+    store.refusedWatch = jobPrefix;
+    store.isRefusing = isStoreDown;
+    store.isRefusingRenewals = isStoreDown;
+    store.put(cancelKey(scheduler::GraphJobId("a")), encodeCancelMarker(0));
+    const auto refusedAt = clock.now();
+    if (isStoreDown) {
+        // No node could do better.
+        REQUIRE(isReachedAfter([&] { return clock.now() - refusedAt > Milliseconds(6000); }));
+        CHECK(lostTerms == 0);
+    } else {
+        REQUIRE(isReachedAfter([&] { return lostTerms == 1; }));
+        CHECK(clock.now() - refusedAt < Milliseconds(3000));
+    }
+    store.refusedWatch.clear();
+    store.isRefusing = false;
+    store.isRefusingRenewals = false;
+    CHECK(isReachedAfter([&] { return calls.stops.size() == 1; }));
+    if (coordinator)
+        coordinator->stop();
+    operators.stop();
+}
+
 TEST_CASE("A watcher goes on after a change that its user could not handle")
 {
     // Guards against an unexpected error in one entry: the exception left the event loop's handler before the next watch was sent, and the
--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -260,7 +260,8 @@
 
 void FaultInjector::turnAwayOneDaemon()
 {
-    constexpr std::uint64_t kinds = 4;
+    // Silence, refusal of all calls, and of all but the renewals of leases, which leaves the leader its lease.
+    constexpr std::uint64_t kinds = 5;
     const auto kind = m_refusalRandom.below(kinds);
     const auto other = static_cast<unsigned>(m_refusalRandom.below(m_cluster.size().daemons));
     const auto time = soak::randomDuration(m_refusalRandom, minRefusalMs, maxRefusalMs);
@@ -269,10 +270,13 @@
     ++m_faultCount;
     const auto daemon = kind == 0 ? other : findLeader().value_or(other);
     const bool isRefusing = kind < kinds - 1;
-    std::cout << "fault=turn_away daemon=" << daemon << " refused=" << isRefusing << " ms=" << time.count() << '\n';
+    const bool areLeasesServed = isRefusing && kind >= kinds / 2;
+    std::cout << "fault=turn_away daemon=" << daemon << " refused=" << isRefusing << " leases_served=" << areLeasesServed
+              << " ms=" << time.count() << '\n';
     auto& link = m_cluster.storeLink(daemon);
     LinkFault fault;
     fault.isRefusing = isRefusing;
+    fault.servedPath = areLeasesServed ? "/kv-keep/" : "";
     fault.isBlockedToCaller = !isRefusing;
     link.setFault(fault);
     scheduleRecovery(time, [this, &link] {
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -98,13 +98,22 @@
                 boost::asio::buffer(pump.buf), [self = shared_from_this(), direction](const ErrorCode& ec, std::size_t n) {
                     if (ec)
                         return self->close(false);
-                    if (direction == Direction::ToTarget && self->proxy->fault.isRefusing)
-                        return self->refuse();
                     self->getPump(direction).size = n;
+                    if (direction == Direction::ToTarget && self->isRefused())
+                        return self->refuse();
                     self->scheduleWrite(direction, self->proxy->fault.delay);
                 });
         }
 
+        // Requests of the daemons are small, so the first line of one is never split.
+        bool isRefused() const
+        {
+            const auto& fault = proxy->fault;
+            const std::string_view request(toTarget.buf.data(), toTarget.size);
+            const auto path = request.substr(std::min(request.find(' '), request.size() - 1) + 1);
+            return fault.isRefusing && (fault.servedPath.empty() || !path.starts_with(fault.servedPath));
+        }
+
         void refuse()
         {
             boost::asio::async_write(
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -16,6 +16,8 @@
     Milliseconds delay { 0 };
     // Answers HTTP requests with status 503 in place of the target, and closes the connection.
     bool isRefusing = false;
+    // With isRefusing: requests whose path begins with this are forwarded all the same; empty for none.
+    std::string servedPath;
 };
 
 // TCP proxy on the loopback interface between a process and a target that it calls. Methods may be called from any thread; connections are
