--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -211,7 +211,7 @@
     boost::asio::post(m_state->loop, [state = m_state, port] { state->targetPort = port; });
 }
 
-void FaultProxy::setFault(LinkFault fault)
+void FaultProxy::setFault(const LinkFault& fault)
 {
     boost::asio::post(m_state->loop, [state = m_state, fault] { state->fault = fault; });
 }
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -32,7 +32,7 @@
     std::uint16_t port() const;
     // Connections are closed at once until a target is set.
     void setTarget(std::uint16_t port);
-    void setFault(LinkFault);
+    void setFault(const LinkFault&);
     // Resets all open connections.
     void reset();
 
