Log how long ago the lease of a lapsed run was last extended

Whether a lease that was taken for expired too early had been reckoned from the last order could not be told from the lines: run_lapsed named the age of the worker's last answer and the progress, which run_placed and the end show as well. No change of logic.

--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -325,6 +325,8 @@
     // Latest time at which the lease of the runs on the worker ends. All runs on a worker share one lease, which each order extends; no run
     // exists on the worker after this time unless it receives another order.
     MonotonicTime leaseEnd;
+    // Time of the last order that asked to extend the lease.
+    std::optional<MonotonicTime> leaseOrderedAt;
     // The worker has answered an order that carried the fencing token of this term.
     bool hasSeenFence = false;
     MonotonicTime lastAnswerAt;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -279,6 +279,7 @@
     // A slow clock reaches the expiry later than the local clock.
     const auto longest = (elapsed + parameters.lease) * (100 + 2 * parameters.clockSlowPercent) / 100;
     worker.leaseEnd = std::max(worker.leaseEnd, worker.clockAt + longest);
+    worker.leaseOrderedAt = now;
     return until;
 }
 
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -18,8 +18,9 @@
 
     void releaseLapsedRun(State& state, const RunRef& ref, const Run& run, const Worker& worker, MonotonicTime now, Orders& orders)
     {
+        const auto sinceOrder = std::chrono::duration_cast<Milliseconds>(now - worker.leaseOrderedAt.value_or(state.termStartedAt));
         orders.emplace_back(Decision { "run_lapsed", toString(ref), worker.id, "lease_over",
-            std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt), run.percent });
+            std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt), sinceOrder.count() });
         // An incarnation that still renews its entry in the list of workers has not crashed.
         if (!worker.isListed || run.born != worker.born)
             countCrash(state, ref, assessLoss(state, worker, LossKind::Unexplained), now);
