--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -97,10 +97,9 @@
     if (!worker)
         return;
     PollMessage message;
-    // Leases of an unresponsive worker are left to expire, so that a run that cannot be stopped ends at a known time.
-    if (mayExtendLeases() && worker->missedPolls == 0)
+    if (mayExtendLeases() && order.extendsLease)
         message.leaseUntilMs = scheduler::extendLease(m_state, *worker, sentAt);
-    message.acknowledgedEnd = worker->lastCommittedEnd;
+    message.acknowledgedEnd = order.acknowledgedEnd;
     message.wait = order.wait;
     message.fence = m_state.term;
     message.isRepeat = worker->missedPolls > 0;
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -386,6 +386,8 @@
 struct Parameters {
     // Maximum lease that an order grants to the runs on a worker.
     Milliseconds lease { 7500 };
+    // Longest lease that a worker grants, whatever an order asks for.
+    Milliseconds maxLease { 10'000 };
     // Starts are withheld while the view of draining workers, or of domains closed by operators, is older than this.
     Milliseconds workerViewLimit { 1300 };
     Milliseconds operatorViewLimit { 3500 };
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -30,6 +30,9 @@
     WorkerId worker;
     // Long-poll time: the worker answers when a run ends, or after this time.
     Milliseconds wait { 0 };
+    // The worker forgets its ends up to this one.
+    EndNumber acknowledgedEnd;
+    bool extendsLease = false;
 };
 
 // Requests permits from the adviser to run the step on the workers.
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -360,7 +360,10 @@
         advanceEndCursor(state, worker);
         worker.isPollInFlight = true;
         const bool isFirst = !worker.hasSeenFence || worker.missedPolls > 0;
-        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker) });
+        // Leases of an unresponsive worker are left to expire, so that a run that cannot be stopped ends at a known time.
+        const bool extendsLease = worker.missedPolls == 0;
+        orders.emplace_back(
+            PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker), worker.lastCommittedEnd, extendsLease });
     }
 }
 
--- /dev/null
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -0,0 +1,183 @@
+#include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
+#include "scheduler/Inventory.h"
+#include "scheduler/Placement.h"
+#include "scheduler/RunStarts.h"
+#include "scheduler/Runs.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace kingcuploom;
+using namespace kingcuploom::scheduler;
+using namespace kingcuploom::scheduler::test;
+
+// Workers that start again under their ids take orders that were meant for their former incarnation.
+namespace {
+
+// A worker with a run whose start was sent, and not answered so far.
+struct OpenStart {
+    OpenStart()
+    {
+        world.run(Milliseconds(200));
+        now = worker.lastAnswerAt;
+        addJob(state, makeJobSpec("a", { .counts = { 1 }, .estimateMs = 60'000 }), nullptr, {}, now, 0);
+        placeWaitingTasks(state, now, orders);
+        onCommitted(state, ref.task.job, state.jobs.at(ref.task.job).version, Revision(1));
+        sendRecordedStarts(state, now, orders);
+        extendLease(state, worker, now);
+        orders.clear();
+    }
+
+    void listNextIncarnation(MonotonicTime at)
+    {
+        WorkerEntry entry { .id = worker.id, .born = IncarnationTime(worker.born.value() + 1) };
+        entry.service = worker.service;
+        entry.address = worker.address;
+        entry.capacity = worker.capacity;
+        onWorkerListed(state, entry, at, orders);
+    }
+
+    // The worker answers its first poll in its new incarnation, and lists the run or not.
+    void reportFromNextIncarnation(MonotonicTime at, bool isRunning)
+    {
+        PollReport report { .born = IncarnationTime(worker.born.value() + 1), .clockMs = 700 };
+        if (isRunning)
+            report.running.push_back({ ref, {}, 10, 0 });
+        onPollReport(state, worker.id, report, at, at, 0, orders);
+    }
+
+    void failPolls(MonotonicTime at)
+    {
+        onPollFailure(state, worker.id, PollFailure::NoAnswer, at);
+        onPollFailure(state, worker.id, PollFailure::NoAnswer, at);
+    }
+
+    void readInventory(VmState vmState, MonotonicTime at) { onInventory(state, { { worker.vm, {}, vmState } }, at, at, orders); }
+
+    bool hasStopOrder() const
+    {
+        return std::ranges::any_of(orders, [](const Order& it) { return std::holds_alternative<StopOrder>(it); });
+    }
+
+    SchedulerWorld world { 1 };
+    State& state = world.state();
+    Worker& worker = state.workers.at(SchedulerWorld::workerId(0));
+    MonotonicTime now;
+    RunRef ref { { GraphJobId("a"), 0, 0, 0 }, RunNumber(1) };
+    Orders orders;
+};
+
+} // namespace
+
+// TWICE: an order for the former incarnation, with a deadline on its clock, gave the next one the longest lease that a worker grants. The
+// leader reckoned with its own, shorter lease and started the tasks elsewhere while they were still executed.
+TEST_CASE("Runs of a worker that restarted and was cut off are kept until the longest lease has ended", "[restart]")
+{
+    const bool isLearnedFromList = GENERATE(true, false);
+    OpenStart it;
+    const auto learnedAt = it.now + Milliseconds(100);
+    if (isLearnedFromList)
+        it.listNextIncarnation(learnedAt);
+    else
+        it.reportFromNextIncarnation(learnedAt, true);
+    REQUIRE(findRun(it.state, it.ref));
+    it.failPolls(learnedAt + Milliseconds(600));
+    onWorkerUnlisted(it.state, it.worker.id, learnedAt + Milliseconds(4500));
+    checkRuns(it.state, learnedAt + it.state.parameters.maxLease, it.orders);
+    CHECK(findRun(it.state, it.ref));
+    checkRuns(it.state, learnedAt + it.state.parameters.maxLease * 3 / 2, it.orders);
+    CHECK_FALSE(findRun(it.state, it.ref));
+}
+
+// TWICE, as above: the worker was cut off before the leader could learn of its restart.
+TEST_CASE("Runs of a silent worker without an entry are kept until the longest lease has ended", "[restart]")
+{
+    OpenStart it;
+    onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    it.failPolls(it.now + Milliseconds(600));
+    onWorkerUnlisted(it.state, it.worker.id, it.now + Milliseconds(4500));
+    checkRuns(it.state, it.now + it.state.parameters.maxLease, it.orders);
+    CHECK(findRun(it.state, it.ref));
+    checkRuns(it.state, it.now + it.state.parameters.maxLease * 3 / 2, it.orders);
+    CHECK_FALSE(findRun(it.state, it.ref));
+}
+
+// Guards against the longer wait where it is not needed: a worker that still renews its entry under the same incarnation has not restarted.
+TEST_CASE("Runs of a silent worker that renews its entry are kept until the lease that was ordered has ended", "[restart]")
+{
+    OpenStart it;
+    onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    it.failPolls(it.now + Milliseconds(600));
+    checkRuns(it.state, it.now + it.state.parameters.lease, it.orders);
+    CHECK(findRun(it.state, it.ref));
+    checkRuns(it.state, it.now + it.state.parameters.lease * 11 / 10, it.orders);
+    CHECK_FALSE(findRun(it.state, it.ref));
+}
+
+// TWICE: a run was released because its VM was down, while its start was on its way. The worker was back at once and carried it out.
+TEST_CASE("A run whose start has no answer is not released because its VM is down", "[restart]")
+{
+    OpenStart it;
+    it.worker.vm = VmId("vm");
+    it.worker.isShownUp = true;
+    it.failPolls(it.now + Milliseconds(600));
+    it.readInventory(VmState::Down, it.now + Milliseconds(700));
+    CHECK(findRun(it.state, it.ref));
+    CHECK(it.hasStopOrder());
+    it.orders.clear();
+    // The next incarnation is told to stop the run before its task may start elsewhere.
+    const auto later = it.now + Milliseconds(800);
+    it.listNextIncarnation(later);
+    CHECK(it.hasStopOrder());
+    onStopResult(it.state, it.ref, StopResult::Accepted, later + Milliseconds(2), it.orders);
+    onPollReport(
+        it.state, it.worker.id, { .born = it.worker.born, .clockMs = 1 }, later + Milliseconds(10), later + Milliseconds(12), 0, it.orders);
+    CHECK_FALSE(findRun(it.state, it.ref));
+}
+
+// Guards against the longer wait where it is not needed: the answer to its only start shows that no order is on its way.
+TEST_CASE("A run whose start was answered is released when its VM is down", "[restart]")
+{
+    const auto state = GENERATE(VmState::Down, VmState::InMaintenance);
+    OpenStart it;
+    onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    it.worker.vm = VmId("vm");
+    it.worker.isShownUp = true;
+    it.failPolls(it.now + Milliseconds(600));
+    it.readInventory(state, it.now + Milliseconds(700));
+    it.readInventory(state, it.now + Milliseconds(1000));
+    CHECK_FALSE(findRun(it.state, it.ref));
+}
+
+// TWICE: a run that was stopped after its only start had no answer was released when its worker restarted; the start was carried out by the
+// next incarnation. Only starts that were sent again counted as such that may arrive late.
+TEST_CASE("A run whose only start had no answer is stopped at the next incarnation", "[restart]")
+{
+    OpenStart it;
+    it.worker.capacity.cpuMillis = 1;
+    // Too small for a repetition, so that the run is stopped.
+    onStartResult(it.state, it.ref, StartResult::NoAnswer, it.now, it.orders);
+    REQUIRE(findRun(it.state, it.ref)->phase == RunPhase::Stopping);
+    it.reportFromNextIncarnation(it.now + Milliseconds(100), true);
+    it.orders.clear();
+    it.reportFromNextIncarnation(it.now + Milliseconds(200), false);
+    REQUIRE(findRun(it.state, it.ref));
+    CHECK(it.hasStopOrder());
+}
+
+// TWICE: the first poll that reached the next incarnation acknowledged ends by the numbers of the former one, so that an end that no leader
+// had read was forgotten, and the task was started again.
+TEST_CASE("A poll after a pause acknowledges no end and extends no lease", "[restart]")
+{
+    const auto age = GENERATE(Milliseconds(20), Milliseconds(6000));
+    OpenStart it;
+    it.worker.lastCommittedEnd = EndNumber(57);
+    it.worker.isPollInFlight = false;
+    schedulePolls(it.state, it.now + age, it.orders);
+    REQUIRE(it.orders.size() == 1);
+    const auto& poll = std::get<PollOrder>(it.orders.front());
+    const bool isConfirmed = age < Milliseconds(1000);
+    CHECK(poll.acknowledgedEnd == (isConfirmed ? EndNumber(57) : EndNumber()));
+    CHECK(poll.extendsLease == isConfirmed);
+}
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -9,8 +9,10 @@
     // Starts that were sent before the leader has read the new capacity of a worker may arrive this late.
     constexpr Milliseconds capacityGracePeriod { 400 };
     constexpr std::int64_t workerMemoryMb = 16'000;
-    constexpr Milliseconds restartDelay { 900 };
     constexpr Milliseconds inventoryInterval { 300 };
+    // Time until an order reaches the worker's process. A worker that is back under its id takes orders that were meant for its former
+    // incarnation; those that a process has received, and not yet executed, are lost with it.
+    constexpr Milliseconds networkDelay { 1 };
     // The rule BUDGET: starts of a task after this many workers have crashed under it, of which the last is one too many.
     constexpr std::size_t toleratedCrashes = 3;
     constexpr std::size_t startsBeyondBudget = 3;
@@ -113,6 +115,7 @@
     m_state = State();
     m_state.parameters = parameters;
     m_state.parameters.lease = Milliseconds(2000);
+    m_state.parameters.maxLease = Milliseconds(2700);
     m_state.parameters.storeSilenceLimit = Milliseconds(m_rules.waitsForEarlierLeases ? 1000 : -10'000);
     m_state.term = m_storedTerm = Revision(++m_revision);
     m_state.termStartedAt = m_now;
@@ -154,7 +157,7 @@
     if (!worker.isUp)
         return;
     worker.isUp = false;
-    worker.upAt = m_now + restartDelay;
+    planReturn(worker);
     for (const auto& [ref, execution] : worker.running) {
         ++m_crashes[ref.task];
         m_lostRuns += isCrashing(ref.task) ? 0 : 1;
@@ -200,6 +203,20 @@
     return it != m_crashing.end() && task.step == 0 && it->second.indices.contains(task.index);
 }
 
+void SchedulerWorld::setRestarts(const Restarts& restarts) { m_restarts = restarts; }
+
+void SchedulerWorld::planReturn(FakeWorker& worker)
+{
+    worker.upAt = m_now + m_restarts.delay;
+    worker.clockStartedAt = worker.upAt;
+    if (m_restarts.maxEntryDelay > Milliseconds(0))
+        worker.entryLapsedUntil = worker.upAt + Milliseconds(randomBelow(m_restarts.maxEntryDelay.count()));
+    if (m_restarts.cutTime == Milliseconds(0))
+        return;
+    post(worker.upAt + Milliseconds(randomBelow(m_restarts.maxTimeToCut.count())),
+        [this, id = worker.id] { findFakeWorker(id).partitionedUntil = m_now + m_restarts.cutTime; });
+}
+
 void SchedulerWorld::setInventoryAvailable(bool isAvailable) { m_isInventoryAvailable = isAvailable; }
 
 void SchedulerWorld::readInventory()
@@ -332,7 +349,19 @@
         addViolation("exceeds the capacity of the worker: " + toString(ref));
 }
 
-void SchedulerWorld::start(FakeWorker& worker, const RunRef& ref, std::int64_t fence, MonotonicTime leaseEnd, StartResult& result)
+std::int64_t SchedulerWorld::readClock(const FakeWorker& worker) const
+{
+    return std::chrono::duration_cast<Milliseconds>(m_now - worker.clockStartedAt).count();
+}
+
+// A lease never shortens, and a longer one is cut.
+void SchedulerWorld::extendLease(FakeWorker& worker, std::int64_t until) const
+{
+    const auto lease = std::min(Milliseconds(until - readClock(worker)), m_state.parameters.maxLease);
+    worker.leaseEnd = std::max(worker.leaseEnd, m_now + lease);
+}
+
+void SchedulerWorld::start(FakeWorker& worker, const RunRef& ref, std::int64_t fence, std::int64_t until, StartResult& result)
 {
     if (m_rules.ordersCarryFence && fence < worker.fence) {
         result = StartResult::Fenced;
@@ -342,7 +371,7 @@
     const auto closed = worker.closed.find(ref.task);
     const bool isClosed = closed != worker.closed.end() && ref.run <= closed->second;
     result = StartResult::Started;
-    if (leaseEnd < m_now)
+    if (until < readClock(worker))
         result = StartResult::Late;
     else if (!worker.running.contains(ref) && isClosed)
         result = StartResult::Superseded;
@@ -361,7 +390,7 @@
             });
         }
     }
-    worker.leaseEnd = std::max(worker.leaseEnd, leaseEnd);
+    extendLease(worker, until);
 }
 
 void SchedulerWorld::send(const StartOrder& order)
@@ -369,7 +398,7 @@
     auto* worker = findWorker(m_state, order.worker);
     if (!worker || !findRun(m_state, order.run))
         return;
-    const auto until = extendLease(m_state, *worker, m_now);
+    const auto until = scheduler::extendLease(m_state, *worker, m_now);
     const auto generation = m_leaderGeneration;
     // Each order is answered once; an answer after the timeout counts as none.
     const auto isAnswered = std::make_shared<bool>(false);
@@ -385,22 +414,26 @@
         return post(m_now, [answer] { answer(StartResult::PermitExpired); });
     if (!until)
         return post(m_now, [answer] { answer(StartResult::NotSent); });
-    const auto leaseEnd = m_now + m_state.parameters.lease;
     const auto fence = m_state.term.value();
     const bool isOrderLost = happens(m_probabilities.lostOrder);
     const bool isAnswerLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     const auto at = randomArrivalTime();
     constexpr Milliseconds timeout { 350 };
-    post(at, [=, this, born = worker->born] {
-        auto& target = findFakeWorker(order.worker);
-        auto result = StartResult::NoAnswer;
-        if (target.startFault)
-            result = *target.startFault;
-        else if (isReachable(target) && !isOrderLost && target.born == born)
-            start(target, order.run, fence, leaseEnd, result);
-        if (isAnswerLost || result == StartResult::NoAnswer || m_now - at > timeout)
+    post(m_now + networkDelay, [=, this] {
+        const auto& receiver = findFakeWorker(order.worker);
+        if (!receiver.startFault && (!isReachable(receiver) || isOrderLost))
             return;
-        post(m_now + Milliseconds(2), [=] { answer(result); });
+        post(std::max(at, m_now), [=, this, born = receiver.born] {
+            auto& target = findFakeWorker(order.worker);
+            auto result = StartResult::NoAnswer;
+            if (target.startFault)
+                result = *target.startFault;
+            else if (target.isUp && target.born == born)
+                start(target, order.run, fence, *until, result);
+            if (isAnswerLost || result == StartResult::NoAnswer || !isReachable(target) || m_now - at > timeout)
+                return;
+            post(m_now + Milliseconds(2), [=] { answer(result); });
+        });
     });
     post(m_now + timeout, [=] { answer(StartResult::NoAnswer); });
 }
@@ -433,10 +466,8 @@
     auto* worker = findWorker(m_state, order.worker);
     const auto generation = m_leaderGeneration;
     const auto sentAt = m_now;
-    const auto born = worker->born;
-    const auto until = worker->missedPolls == 0 ? extendLease(m_state, *worker, m_now) : std::nullopt;
-    const auto leaseEnd = m_now + m_state.parameters.lease;
-    const auto acknowledged = m_rules.acksRequireCommit ? worker->lastCommittedEnd : worker->lastSeenEnd;
+    const auto until = order.extendsLease ? scheduler::extendLease(m_state, *worker, m_now) : std::nullopt;
+    const auto acknowledged = m_rules.acksRequireCommit ? order.acknowledgedEnd : worker->lastSeenEnd;
     const auto fence = m_state.term.value();
     const bool isLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     constexpr Milliseconds timeout { 600 };
@@ -447,6 +478,12 @@
                 onPollFailure(m_state, order.worker, PollFailure::NoAnswer, m_now);
         });
     }
+    const auto receivedBy = std::make_shared<IncarnationTime>();
+    post(m_now + networkDelay, [=, this] {
+        const auto& receiver = findFakeWorker(order.worker);
+        if (receiver.isUp)
+            *receivedBy = receiver.born;
+    });
     post(at, [=, this] {
         auto& target = findFakeWorker(order.worker);
         const auto fail = [=, this] {
@@ -455,9 +492,7 @@
         };
         // Executed after the caller has timed out.
         const bool isLate = m_now - sentAt > timeout;
-        // A poll that is executed late by the next incarnation would acknowledge ends that no leader has seen. The interface cannot prevent
-        // this (docs/PROOFS.md), so here late orders are dropped with the incarnation.
-        const bool isOtherIncarnation = isLate && target.born != born;
+        const bool isOtherIncarnation = isLate && target.born != *receivedBy;
         // The host of a process that has crashed refuses the connection.
         if (!target.isUp && !isLate)
             return fail();
@@ -465,7 +500,7 @@
             return isLate ? void() : post(sentAt + timeout, fail);
         target.fence = std::max(target.fence, fence);
         if (until)
-            target.leaseEnd = std::max(target.leaseEnd, leaseEnd);
+            extendLease(target, *until);
         for (const auto& end : target.ends) {
             if (end.number <= acknowledged && end.kind == EndKind::Done && end.number > target.lastLapsedEnd)
                 m_acknowledgedDone.insert(end.run.task);
@@ -475,7 +510,7 @@
         std::erase_if(target.ends, [&](const ListedEnd& end) { return end.number <= acknowledged; });
         PollReport report;
         report.born = target.born;
-        report.clockMs = wallMs();
+        report.clockMs = readClock(target);
         report.ends.assign(
             target.ends.begin(), target.ends.begin() + static_cast<std::ptrdiff_t>(std::min(target.ends.size(), m_maxListedEnds)));
         report.areEndsCut = target.ends.size() >= m_maxListedEnds;
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -57,6 +57,17 @@
     Milliseconds limit { 0 };
 };
 
+// How a crashed worker comes back under its id.
+struct Restarts {
+    Milliseconds delay { 900 };
+    // Longest time until its entry is back in the list of workers, from its return on. Until then the leader may take it for its former
+    // incarnation.
+    Milliseconds maxEntryDelay { 0 };
+    // If set, the worker is cut off for this time, at a moment within maxTimeToCut of its return.
+    Milliseconds cutTime { 0 };
+    Milliseconds maxTimeToCut { 0 };
+};
+
 std::shared_ptr<schema::GraphJobSpecT> makeJobSpec(const std::string& id, const JobOptions& = {});
 
 // Seeded simulation of a small fleet, a store and a leader around the scheduler. Checks the safety invariants after each start.
@@ -73,6 +84,7 @@
     // Replaces the leader by a new one that starts from the stored state. Orders of the old leader that are in flight still arrive.
     void changeLeader();
     void crashWorker(unsigned);
+    void setRestarts(const Restarts&);
     // The worker never returns, and the platform no longer lists its VM.
     void removeWorker(unsigned);
     // These tasks of the job's first step crash each worker that starts them, this long after the start.
@@ -144,6 +156,8 @@
         Rack rack { "r1" };
         FailureDomain domain { "north" };
         IncarnationTime born { 1 };
+        // Its clock starts anew with each incarnation.
+        MonotonicTime clockStartedAt;
         bool isUp = true;
         bool isRemoved = false;
         std::int64_t cpuMillis = 4000;
@@ -183,6 +197,7 @@
     std::int64_t wallMs() const;
     bool isReachable(const FakeWorker&) const;
     bool isAddressKnown(const WorkerId&);
+    void planReturn(FakeWorker&);
     bool areAnswersLost(const WorkerId& id) { return m_now < findFakeWorker(id).answersLostUntil; }
     void post(MonotonicTime, std::function<void()>);
     void deliverDue();
@@ -196,7 +211,10 @@
     void send(const StopOrder&);
     void send(const PollOrder&);
     void send(const AdviceOrder&);
-    void start(FakeWorker&, const RunRef&, std::int64_t fence, MonotonicTime leaseEnd, StartResult&);
+    // "until" is on the worker's clock.
+    void start(FakeWorker&, const RunRef&, std::int64_t fence, std::int64_t until, StartResult&);
+    std::int64_t readClock(const FakeWorker&) const;
+    void extendLease(FakeWorker&, std::int64_t until) const;
     void commit();
     Milliseconds randomCommitTime();
     void refreshView();
@@ -235,6 +253,7 @@
         Milliseconds delay { 0 };
     };
     std::map<std::string, CrashingTasks> m_crashing;
+    Restarts m_restarts;
     bool m_isInventoryAvailable = false;
     MonotonicTime m_inventoryAt;
     // Outcomes on the workers, used by the checks.
