--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -31,6 +31,12 @@
 // nothing while the worker's clock is unknown.
 std::optional<std::int64_t> extendLease(const State&, Worker&, MonotonicTime now);
 
+// Returns the latest time at which the lease of the runs on the worker ends, which may have restarted without notice if it has no entry.
+MonotonicTime computeLatestLeaseEnd(const State&, const Worker&);
+
+// Returns the latest end of a lease that an earlier leader has extended.
+MonotonicTime computeEarlierTermLeaseEnd(const State&);
+
 void onPollReport(State&, const WorkerId&, const PollReport&, MonotonicTime sentAt, MonotonicTime now, std::int64_t wallMs, Orders&);
 void onPollFailure(State&, const WorkerId&, PollFailure, MonotonicTime now);
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -29,9 +29,26 @@
     // The leader suspects its own link when this many workers with runs, and this share of them, do not answer.
     constexpr std::size_t minSilentWorkers = 3;
     constexpr std::size_t minSilentPercent = 25;
+    // An order that was sent has reached the worker after this time, or is lost. Covers a relay and the wait for a connection.
+    constexpr Milliseconds maxOrderDelay { 2000 };
     // Time for which a draining worker may finish its runs.
     constexpr Milliseconds drainGracePeriod { 1200 };
 
+    // A slow clock reaches the end of a lease later than the local clock.
+    Milliseconds onLocalClock(const Parameters& parameters, Milliseconds lease)
+    {
+        return lease * (100 + 2 * parameters.clockSlowPercent) / 100;
+    }
+
+    // Returns the latest end of a lease that the last order may have extended, if the worker has restarted before the order reached it: on
+    // the clock of another incarnation, any deadline can ask for the longest lease.
+    MonotonicTime computeMisdirectedLeaseEnd(const State& state, const Worker& worker)
+    {
+        if (!worker.leaseOrderedAt)
+            return worker.leaseEnd;
+        return *worker.leaseOrderedAt + maxOrderDelay + onLocalClock(state.parameters, state.parameters.maxLease);
+    }
+
     void resetIncarnation(Worker& worker, IncarnationTime born)
     {
         worker.born = born;
@@ -84,6 +101,7 @@
             else
                 stopRun(state, ref, StopReason::UncertainStart, now, orders);
         }
+        worker.leaseEnd = std::max(worker.leaseEnd, computeMisdirectedLeaseEnd(state, worker));
         resetIncarnation(worker, born);
     }
 
@@ -276,13 +294,23 @@
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(now - worker.clockAt);
     const auto& parameters = state.parameters;
     const auto until = *worker.clockMs + elapsed.count() + parameters.lease.count();
-    // A slow clock reaches the expiry later than the local clock.
-    const auto longest = (elapsed + parameters.lease) * (100 + 2 * parameters.clockSlowPercent) / 100;
-    worker.leaseEnd = std::max(worker.leaseEnd, worker.clockAt + longest);
+    worker.leaseEnd = std::max(worker.leaseEnd, worker.clockAt + onLocalClock(parameters, elapsed + parameters.lease));
     worker.leaseOrderedAt = now;
     return until;
 }
 
+MonotonicTime computeLatestLeaseEnd(const State& state, const Worker& worker)
+{
+    // A worker that had restarted would have replaced its entry, or lost it.
+    const bool isSameIncarnation = worker.isListed && !state.isViewStale;
+    return isSameIncarnation ? worker.leaseEnd : std::max(worker.leaseEnd, computeMisdirectedLeaseEnd(state, worker));
+}
+
+MonotonicTime computeEarlierTermLeaseEnd(const State& state)
+{
+    return state.termStartedAt + state.parameters.storeSilenceLimit + onLocalClock(state.parameters, state.parameters.maxLease);
+}
+
 void onPollReport(State& state, const WorkerId& id, const PollReport& report, MonotonicTime sentAt, MonotonicTime now, std::int64_t wallMs,
     Orders& orders)
 {
@@ -298,9 +326,10 @@
         return;
     if (report.born > worker->born)
         onNewIncarnation(state, *worker, report.born, now, orders);
-    // Until this answer an earlier leader may have extended the leases on the worker; from now on the fencing token prevents it.
+    // Until this answer an earlier leader may have extended the leases on the worker, on the clock of another incarnation even; from now on
+    // the fencing token prevents it.
     if (!worker->hasSeenFence)
-        worker->leaseEnd = std::max(worker->leaseEnd, now + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100);
+        worker->leaseEnd = std::max(worker->leaseEnd, now + onLocalClock(state.parameters, state.parameters.maxLease));
     worker->hasSeenFence = true;
     worker->lastAnswerAt = now;
     worker->reportedAt = now;
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/Runs.h"
 
 #include "JobRuns.h"
+#include "scheduler/Fleet.h"
 #include "scheduler/Reservations.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Suspects.h"
@@ -43,7 +44,7 @@
     {
         WorkerRuns runs;
         for (const auto& [id, worker] : state.workers) {
-            if (now <= worker.leaseEnd)
+            if (now <= computeLatestLeaseEnd(state, worker))
                 continue;
             for (const auto& ref : worker.runs)
                 runs.emplace(id, ref);
@@ -63,10 +64,9 @@
         if (run->phase == RunPhase::Running && isUnneeded)
             stopRun(state, ref, StopReason::JobEnded, now, orders);
         const bool isSent = run->phase != RunPhase::Unverified;
-        const auto earlierTermLeaseEnd = state.termStartedAt + state.parameters.storeSilenceLimit
-            + state.parameters.lease * (100 + 2 * state.parameters.clockSlowPercent) / 100;
+        const auto leaseEnd = computeLatestLeaseEnd(state, worker);
         // An earlier leader may have extended the lease of its runs, so a worker that has not answered in this term may still execute them.
-        const auto end = isSent && worker.hasSeenFence ? worker.leaseEnd : std::max(worker.leaseEnd, earlierTermLeaseEnd);
+        const auto end = isSent && worker.hasSeenFence ? leaseEnd : std::max(leaseEnd, computeEarlierTermLeaseEnd(state));
         // The run may have ended as done in an answer that this leader's link has lost or still holds back, so that starting the task
         // again would repeat completed work. The worker is polled until it answers, or until its silence is its own.
         const bool isSilenceOfWorker = !worker.isListed || (worker.missedPolls >= minMissedPolls && !state.isOwnLinkSuspect);
