--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -31,6 +31,9 @@
 // nothing while the worker's clock is unknown.
 std::optional<std::int64_t> extendLease(const State&, Worker&, MonotonicTime now);
 
+// Returns true if the starts that were sent to the worker had reached it at that time, or were lost.
+bool areOrdersSettled(const Worker&, MonotonicTime);
+
 // Returns the latest time at which the lease of the runs on the worker ends, which may have restarted without notice if it has no entry.
 MonotonicTime computeLatestLeaseEnd(const State&, const Worker&);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -116,6 +116,8 @@
     // The crash of the incarnation for which the run was started is in the task's crash history already.
     bool isCrashCounted = false;
     unsigned startRetries = 0;
+    // Start orders without an answer, each of which the worker may still carry out.
+    unsigned openStarts = 0;
     bool isOrderInFlight = false;
     int percent = 0;
     MonotonicTime percentChangedAt;
@@ -462,7 +464,7 @@
 bool hasEnded(const Job&);
 // Returns true if no start order of the run has been sent, so that no worker can execute it.
 bool isUnsent(const Run&);
-// Returns true if a start order of the run had no answer, so that the worker may still carry it out, whatever it answered to later ones.
+// Returns true if a start order of the run has no answer, so that the worker may still carry it out, whatever it answered to later ones.
 bool mayArriveLate(const Run&);
 // Returns the number of the job's runs that may exist on workers.
 std::size_t countRuns(const Job&);
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -299,6 +299,11 @@
     return until;
 }
 
+bool areOrdersSettled(const Worker& worker, MonotonicTime at)
+{
+    return !worker.leaseOrderedAt || at - *worker.leaseOrderedAt > maxOrderDelay;
+}
+
 MonotonicTime computeLatestLeaseEnd(const State& state, const Worker& worker)
 {
     // A worker that had restarted would have replaced its entry, or lost it.
--- a/libs/scheduler/src/Inventory.cpp
+++ b/libs/scheduler/src/Inventory.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/Inventory.h"
 
+#include "scheduler/Fleet.h"
+#include "scheduler/Runs.h"
 #include "scheduler/Suspects.h"
 
 #include <algorithm>
@@ -41,6 +43,8 @@
     struct VmFinding {
         const char* reason;
         LossKind loss;
+        // The worker may start again under its id.
+        bool mayReturn = false;
     };
 
     VmFinding assessVm(const InventoryEntry* entry, const Worker& worker)
@@ -48,12 +52,12 @@
         // A VM that crashed is listed as down until it is back. One that is not listed has been taken away for good, or has crashed before
         // it was.
         if (!entry)
-            return { worker.vm.empty() ? "vm_not_known" : "vm_removed", LossKind::Unexplained };
+            return { worker.vm.empty() ? "vm_not_known" : "vm_removed", LossKind::Unexplained, true };
         switch (entry->state) {
         case VmState::Up:
             return { "vm_runs_another_worker", LossKind::Crashed };
         case VmState::Down:
-            return { "vm_down", LossKind::Crashed };
+            return { "vm_down", LossKind::Crashed, true };
         case VmState::ChangingPool:
             return { "vm_changes_pool", LossKind::Taken };
         case VmState::InMaintenance:
@@ -61,20 +65,34 @@
         case VmState::Unknown:
             break;
         }
-        return { "vm_state_unknown", LossKind::Unexplained };
+        return { "vm_state_unknown", LossKind::Unexplained, true };
     }
 
-    void loseRuns(State& state, Worker& worker, const VmFinding& finding, MonotonicTime now, Orders& orders)
+    // A run whose start may be on its way is stopped, and its task is not started elsewhere: the worker may be back by the time the order
+    // arrives.
+    void holdRun(State& state, const RunRef& ref, const WorkerLoss& loss, MonotonicTime now, Orders& orders)
     {
+        countCrash(state, ref, loss, now);
+        stopRun(state, ref, StopReason::UncertainStart, now, orders);
+    }
+
+    void loseRuns(State& state, Worker& worker, const VmFinding& finding, MonotonicTime sentAt, MonotonicTime now, Orders& orders)
+    {
+        const bool areStartsOnTheirWay = finding.mayReturn && !areOrdersSettled(worker, sentAt);
+        const auto isHeld = [&](const RunRef& ref) { return areStartsOnTheirWay && mayArriveLate(*findRun(state, ref)); };
+        const auto isStopped = [&](const RunRef& ref) { return findRun(state, ref)->phase == RunPhase::Stopping; };
         const auto refs = worker.runs;
+        if (std::ranges::all_of(refs, [&](const RunRef& ref) { return isHeld(ref) && isStopped(ref); }))
+            return;
         orders.emplace_back(Decision { "worker_gone", {}, worker.id, finding.reason,
             std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt), static_cast<std::int64_t>(refs.size()) });
         const auto loss = assessLoss(state, worker, worker.isDraining ? LossKind::Left : finding.loss);
-        std::ranges::for_each(refs, [&](const RunRef& ref) { loseRun(state, ref, loss, now, orders); });
+        std::ranges::for_each(refs,
+            [&](const RunRef& ref) { isHeld(ref) ? holdRun(state, ref, loss, now, orders) : loseRun(state, ref, loss, now, orders); });
         // Suspected tasks explain this loss, so it says nothing about the losses of other workers.
         if (worker.suspectRuns > 0)
             worker.silenceBeganAt.reset();
-        // A start in flight finds no worker, and a worker that returns is a new incarnation.
+        // A worker that returns is a new incarnation.
         worker.isListed = false;
         worker.unlistedSince = now;
     }
@@ -96,7 +114,7 @@
         // An earlier inventory has shown this incarnation as up, so this one is not older than its start.
         const bool isKnownDown = isAbsent && worker.missedPolls > 0 && worker.isShownUp && entry && entry->state == VmState::Down;
         if ((isKnownDown || worker.missedInventories >= minMissedInventories) && !worker.runs.empty())
-            loseRuns(state, worker, assessVm(entry, worker), now, orders);
+            loseRuns(state, worker, assessVm(entry, worker), sentAt, now, orders);
     }
 }
 
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -106,7 +106,7 @@
 
 bool isUnsent(const Run& run) { return run.phase == RunPhase::Recording || (run.phase == RunPhase::Recorded && run.startRetries == 0); }
 
-bool mayArriveLate(const Run& run) { return run.startRetries > 0; }
+bool mayArriveLate(const Run& run) { return run.openStarts > 0; }
 
 std::size_t countRuns(const Job& job)
 {
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -132,6 +132,7 @@
     {
         run.orderedAt = now;
         run.isOrderInFlight = true;
+        ++run.openStarts;
         onStartSent(state.startWindow);
         orders.emplace_back(StartOrder { ref, run.worker, isRepeat });
     }
@@ -221,6 +222,8 @@
     if (!run)
         return;
     run->isOrderInFlight = false;
+    if (result != StartResult::NoAnswer && run->openStarts > 0)
+        --run->openStarts;
     auto* worker = findWorker(state, run->worker);
     if (run->phase != RunPhase::Starting) {
         // A stop was ordered in the meantime; its result decides the state of the run.
--- a/libs/scheduler/tests/InterferenceTests.cpp
+++ b/libs/scheduler/tests/InterferenceTests.cpp
@@ -219,6 +219,8 @@
     SchedulerWorld world(2);
     world.submit(makeJobSpec("a", { .counts = { 2 }, .cpuMillis = 3000, .isLongRunning = true }));
     REQUIRE(world.runUntil([&] { return world.runningCount("a") == 2; }, Milliseconds(1000)));
+    // The leader has the answers to the starts, none of which is on its way any more.
+    world.run(Milliseconds(100));
     auto& state = world.state();
     const auto now = state.workers.begin()->second.lastAnswerAt + Milliseconds(1000);
     Orders orders;
