--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -347,6 +347,9 @@
     MonotonicTime nextPollAt;
     EndNumber lastSeenEnd;
     EndNumber lastCommittedEnd;
+    // The end that the poll in flight acknowledges, and the last one that an answered poll has.
+    EndNumber polledEnd;
+    EndNumber acknowledgedEnd;
     std::deque<UncommittedEnd> uncommittedEnds;
     // The last report held as many ends as fit.
     bool areEndsCut = false;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -29,6 +29,8 @@
     // The leader suspects its own link when this many workers with runs, and this share of them, do not answer.
     constexpr std::size_t minSilentWorkers = 3;
     constexpr std::size_t minSilentPercent = 25;
+    // A worker that answered less than this before is taken for the same incarnation.
+    constexpr Milliseconds confirmedTime { 1000 };
     // An order that was sent has reached the worker after this time, or is lost. Covers a relay and the wait for a connection.
     constexpr Milliseconds maxOrderDelay { 2000 };
     // Time for which a draining worker may finish its runs.
@@ -56,6 +58,8 @@
         worker.hasSeenFence = false;
         worker.lastSeenEnd = {};
         worker.lastCommittedEnd = {};
+        worker.acknowledgedEnd = {};
+        worker.polledEnd = {};
         worker.uncommittedEnds.clear();
         worker.health = {};
         worker.paces.clear();
@@ -353,7 +357,9 @@
         processMissingRun(state, *worker, ref, sentAt, now, orders);
     controlPace(state, *worker, now, orders);
     const auto pause = worker->uncommittedEnds.empty() ? pollDelay : uncommittedPollDelay;
-    const bool isIdle = worker->runs.empty() && worker->uncommittedEnds.empty() && !worker->hasUnknownRuns;
+    worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->polledEnd);
+    const bool isAcknowledged = worker->acknowledgedEnd >= worker->lastCommittedEnd;
+    const bool isIdle = worker->runs.empty() && worker->uncommittedEnds.empty() && isAcknowledged && !worker->hasUnknownRuns;
     worker->nextPollAt = now + (isIdle ? idlePollInterval : pause);
 }
 
@@ -394,10 +400,12 @@
         advanceEndCursor(state, worker);
         worker.isPollInFlight = true;
         const bool isFirst = !worker.hasSeenFence || worker.missedPolls > 0;
-        // Leases of an unresponsive worker are left to expire, so that a run that cannot be stopped ends at a known time.
-        const bool extendsLease = worker.missedPolls == 0;
-        orders.emplace_back(
-            PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker), worker.lastCommittedEnd, extendsLease });
+        // A worker that has been silent may have restarted, so the number of an end could mean another end, and the lease would be one on
+        // another clock. Also, leases of an unresponsive worker are left to expire, so that a run that cannot be stopped ends at a known
+        // time.
+        const bool isConfirmed = worker.missedPolls == 0 && now - worker.lastAnswerAt < confirmedTime;
+        worker.polledEnd = isConfirmed ? worker.lastCommittedEnd : EndNumber();
+        orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker), worker.polledEnd, isConfirmed });
     }
 }
 
--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -183,3 +183,23 @@
     CHECK(poll.acknowledgedEnd == (isConfirmed ? EndNumber(57) : EndNumber()));
     CHECK(poll.extendsLease == isConfirmed);
 }
+
+// Guards against ends that are never acknowledged: the poll that carried the acknowledgement failed, the next one carries none, and the
+// worker is polled rarely from then on.
+TEST_CASE("An idle worker is polled again at once while an end of it is not acknowledged", "[restart]")
+{
+    const bool isAcknowledged = GENERATE(true, false);
+    OpenStart it;
+    onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    releaseRun(it.state, it.ref, it.now);
+    it.worker.lastSeenEnd = EndNumber(1);
+    it.worker.lastCommittedEnd = EndNumber(1);
+    if (!isAcknowledged)
+        onPollFailure(it.state, it.worker.id, PollFailure::NoAnswer, it.now);
+    it.worker.nextPollAt = it.now;
+    it.worker.isPollInFlight = false;
+    schedulePolls(it.state, it.now, it.orders);
+    const auto later = it.now + Milliseconds(10);
+    onPollReport(it.state, it.worker.id, { .born = it.worker.born, .clockMs = 3010 }, it.now, later, 0, it.orders);
+    CHECK((it.worker.nextPollAt - later < Milliseconds(100)) == !isAcknowledged);
+}
