--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -15,6 +15,8 @@
 // Workers that start again under their ids take orders that were meant for their former incarnation.
 namespace {
 
+constexpr std::uint64_t worldCount = 1000;
+
 // A worker with a run whose start was sent, and not answered so far.
 struct OpenStart {
     OpenStart()
@@ -70,6 +72,30 @@
     Orders orders;
 };
 
+// Returns the violations in one world in which workers restart this long after a crash, and some are cut off soon after.
+std::vector<std::string> findViolations(std::uint64_t seed, Milliseconds restartDelay)
+{
+    FaultProbabilities chances;
+    chances.lostAnswer = 0.03;
+    chances.lateOrder = 0.1;
+    chances.leaderChange = 0.003;
+    chances.workerCrash = 0.02;
+    SchedulerWorld world(4, seed, chances);
+    world.setInventoryAvailable(seed % 2 == 0);
+    world.setRestarts({ .delay = restartDelay,
+        .maxEntryDelay = Milliseconds(600),
+        .cutTime = Milliseconds(seed % 4 < 2 ? 6000 : 0),
+        .maxTimeToCut = Milliseconds(2000) });
+    for (int i = 0; i < 40; ++i) {
+        const bool isLong = i % 4 == 0;
+        world.submit(makeJobSpec("job" + std::to_string(i),
+            { .counts = { isLong ? 2U : 4U }, .cpuMillis = isLong ? 500 : 1000, .estimateMs = isLong ? 3000U : 150U }));
+        world.run(Milliseconds(300));
+    }
+    world.run(Milliseconds(3000));
+    return world.violations();
+}
+
 } // namespace
 
 // TWICE: an order for the former incarnation, with a deadline on its clock, gave the next one the longest lease that a worker grants. The
@@ -203,3 +229,25 @@
     onPollReport(it.state, it.worker.id, { .born = it.worker.born, .clockMs = 3010 }, it.now, later, 0, it.orders);
     CHECK((it.worker.nextPollAt - later < Milliseconds(100)) == !isAcknowledged);
 }
+
+// Guards against an interleaving of restarts, cuts and lost answers with which a task runs twice.
+TEST_CASE("No interleaving of restarts and cuts runs a task twice", "[restart][seeds]")
+{
+    for (std::uint64_t seed = 1; seed <= worldCount; ++seed) {
+        const Milliseconds delay(300 + 200 * (seed % 3));
+        const auto violations = findViolations(seed, delay);
+        INFO("seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+        CHECK(violations.empty());
+    }
+}
+
+// TWICE: a poll that was sent just before the leader could notice the restart, and that the next incarnation carries out a second or more
+// later, acknowledges ends that no leader has read.
+TEST_CASE("No interleaving of restarts within a tenth of a second runs a task twice", "[quick_restarts]")
+{
+    for (std::uint64_t seed = 1; seed <= worldCount; ++seed) {
+        const auto violations = findViolations(seed, Milliseconds(100));
+        INFO("seed " << seed << ": " << (violations.empty() ? "" : violations.front()));
+        CHECK(violations.empty());
+    }
+}
