--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -29,7 +29,7 @@
     // The leader suspects its own link when this many workers with runs, and this share of them, do not answer.
     constexpr std::size_t minSilentWorkers = 3;
     constexpr std::size_t minSilentPercent = 25;
-    // A worker that answered less than this before is taken for the same incarnation.
+    // A worker that reported less than this before is taken for the same incarnation.
     constexpr Milliseconds confirmedTime { 1000 };
     // An order that was sent has reached the worker after this time, or is lost. Covers a relay and the wait for a connection.
     constexpr Milliseconds maxOrderDelay { 2000 };
@@ -311,7 +311,7 @@
 MonotonicTime computeLatestLeaseEnd(const State& state, const Worker& worker)
 {
     // A worker that had restarted would have replaced its entry, or lost it.
-    const bool isSameIncarnation = worker.isListed && !state.isViewStale;
+    const bool isSameIncarnation = worker.isListed && !worker.isEntryUnreadable && !state.isViewStale;
     return isSameIncarnation ? worker.leaseEnd : std::max(worker.leaseEnd, computeMisdirectedLeaseEnd(state, worker));
 }
 
@@ -403,7 +403,7 @@
         // A worker that has been silent may have restarted, so the number of an end could mean another end, and the lease would be one on
         // another clock. Also, leases of an unresponsive worker are left to expire, so that a run that cannot be stopped ends at a known
         // time.
-        const bool isConfirmed = worker.missedPolls == 0 && now - worker.lastAnswerAt < confirmedTime;
+        const bool isConfirmed = worker.missedPolls == 0 && now - worker.reportedAt < confirmedTime;
         worker.polledEnd = isConfirmed ? worker.lastCommittedEnd : EndNumber();
         orders.emplace_back(PollOrder { id, isFirst ? Milliseconds(0) : getPollWait(state, worker), worker.polledEnd, isConfirmed });
     }
--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -119,12 +119,16 @@
 }
 
 // TWICE, as above: the worker was cut off before the leader could learn of its restart.
-TEST_CASE("Runs of a silent worker without an entry are kept until the longest lease has ended", "[restart]")
+TEST_CASE("Runs of a silent worker without a readable entry are kept until the longest lease has ended", "[restart]")
 {
+    const bool isEntryGone = GENERATE(true, false);
     OpenStart it;
     onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
     it.failPolls(it.now + Milliseconds(600));
-    onWorkerUnlisted(it.state, it.worker.id, it.now + Milliseconds(4500));
+    if (isEntryGone)
+        onWorkerUnlisted(it.state, it.worker.id, it.now + Milliseconds(4500));
+    else
+        onWorkerEntryUnreadable(it.state, it.worker.id);
     checkRuns(it.state, it.now + it.state.parameters.maxLease, it.orders);
     CHECK(findRun(it.state, it.ref));
     checkRuns(it.state, it.now + it.state.parameters.maxLease * 2, it.orders);
@@ -202,6 +206,8 @@
     OpenStart it;
     it.worker.lastCommittedEnd = EndNumber(57);
     it.worker.isPollInFlight = false;
+    // The answer to a start does not tell which incarnation has given it.
+    onStartResult(it.state, it.ref, StartResult::Started, it.now + age, it.orders);
     schedulePolls(it.state, it.now + age, it.orders);
     REQUIRE(it.orders.size() == 1);
     const auto& poll = std::get<PollOrder>(it.orders.front());
