--- a/libs/node/include/node/WorkerCalls.h
+++ b/libs/node/include/node/WorkerCalls.h
@@ -12,6 +12,8 @@
     scheduler::WorkerId id;
     Address address;
     FailureDomain domain;
+    // Fencing token of the orders to this incarnation of the worker; none below that of the term.
+    Revision fence;
 };
 
 struct StartMessage {
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -12,7 +12,10 @@
     // Added to the expected processing time of the adviser.
     constexpr Milliseconds adviceTimeoutMargin { 1000 };
 
-    WorkerTarget targetOf(const scheduler::Worker& worker) { return { worker.id, worker.address, worker.domain }; }
+    WorkerTarget makeTarget(const scheduler::State& state, const scheduler::Worker& worker)
+    {
+        return { worker.id, worker.address, worker.domain, scheduler::getFence(state, worker) };
+    }
 
     // Reasons that contain figures are replaced by a fixed label, since each distinct reason creates a time series.
     std::string metricReason(const scheduler::Decision& decision)
@@ -62,8 +65,8 @@
         return;
     }
     StartMessage message { order.run, job->spec->payload, task->checkpoint, permit ? permit->ticket : std::string(), *leaseUntil,
-        m_state.term, order.isRepeat, viewTimeLeft() };
-    m_calls.start(targetOf(*worker), message, onResult);
+        scheduler::getFence(m_state, *worker), order.isRepeat, viewTimeLeft() };
+    m_calls.start(makeTarget(m_state, *worker), message, onResult);
 }
 
 void Coordinator::execute(const scheduler::StopOrder& order)
@@ -71,7 +74,8 @@
     const auto* worker = scheduler::findWorker(m_state, order.worker);
     if (!worker)
         return;
-    m_calls.stop(targetOf(*worker), order.run, m_state.term, [self = shared_from_this(), order](scheduler::StopResult result) {
+    const auto target = makeTarget(m_state, *worker);
+    m_calls.stop(target, order.run, target.fence, [self = shared_from_this(), order](scheduler::StopResult result) {
         if (self->m_isStopped)
             return;
         scheduler::onStopResult(self->m_state, order.run, result, self->m_clock.now(), self->m_orders);
@@ -84,7 +88,8 @@
     const auto* worker = scheduler::findWorker(m_state, order.worker);
     if (!worker)
         return;
-    m_calls.pace(targetOf(*worker), order.run, order.percent, m_state.term, [self = shared_from_this(), order](bool isAccepted) {
+    const auto target = makeTarget(m_state, *worker);
+    m_calls.pace(target, order.run, order.percent, target.fence, [self = shared_from_this(), order](bool isAccepted) {
         if (!self->m_isStopped)
             scheduler::onPaceResult(self->m_state, order.run, order.percent, isAccepted);
     });
@@ -101,10 +106,10 @@
         message.leaseUntilMs = scheduler::extendLease(m_state, *worker, sentAt);
     message.acknowledgedEnd = order.acknowledgedEnd;
     message.wait = order.wait;
-    message.fence = m_state.term;
+    message.fence = scheduler::getFence(m_state, *worker);
     message.isRepeat = worker->missedPolls > 0;
     message.knownEnd = worker->lastSeenEnd;
-    m_calls.poll(targetOf(*worker), message,
+    m_calls.poll(makeTarget(m_state, *worker), message,
         [self = shared_from_this(), id = order.worker, sentAt](const Expected<scheduler::PollReport, scheduler::PollFailure>& report) {
             if (self->m_isStopped)
                 return;
--- a/libs/node/tests/CoordinatorTests.cpp
+++ b/libs/node/tests/CoordinatorTests.cpp
@@ -142,6 +142,24 @@
     CHECK(it.isReachedAfter([&] { return it.calls.stops.size() == 1; }));
 }
 
+TEST_CASE("Polls of a worker that restarted carry a fencing token above that of the term and below that of the next term")
+{
+    // Guards against orders of this leader that outrank those of the next one, and against orders to a former incarnation of the worker
+    // that the next one carries out (rule TWICE).
+    CoordinatorFixture it(Milliseconds(10));
+    it.store.put("worker/1", "");
+    it.submit("a");
+    REQUIRE(it.isReachedAfter([&] { return it.calls.starts.size() == 1; }));
+    const auto term = it.coordinator->state().term;
+    CHECK(it.calls.lastPollFence == term);
+    it.store.put("worker/1", "2");
+    REQUIRE(it.isReachedAfter([&] { return it.calls.lastPollFence > term; }));
+    const auto fence = it.calls.lastPollFence;
+    it.leadership.abandonTerm(AbandonReason::JobsNotFollowed);
+    REQUIRE(it.isReachedAfter([&] { return it.lostTerms == 1 && it.coordinator; }));
+    CHECK(it.coordinator->state().term > fence);
+}
+
 TEST_CASE("A job whose progress record cannot be read is not started again, and its record is kept")
 {
     // Guards against running done tasks of a job again because its record is of a newer version or damaged (rule TWICE).
--- a/libs/node/tests/NodeTestSupport.h
+++ b/libs/node/tests/NodeTestSupport.h
@@ -71,6 +71,7 @@
 
     std::vector<StartMessage> starts;
     std::vector<scheduler::RunRef> stops;
+    Revision lastPollFence;
 
     void start(const WorkerTarget& target, const StartMessage& message, std::function<void(scheduler::StartResult)> callback) override
     {
@@ -89,9 +90,10 @@
         boost::asio::post(m_loop, [callback] { callback(scheduler::StopResult::Accepted); });
     }
 
-    void poll(const WorkerTarget& target, const PollMessage&,
+    void poll(const WorkerTarget& target, const PollMessage& message,
         std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)> callback) override
     {
+        lastPollFence = message.fence;
         const scheduler::PollReport report { scheduler::IncarnationTime(1), 1, m_running[target.id], {} };
         boost::asio::post(m_loop, [callback, report] { callback(report); });
     }
--- a/libs/relay/include/relay/RelayChoice.h
+++ b/libs/relay/include/relay/RelayChoice.h
@@ -17,6 +17,8 @@
     // Share of a core.
     double processorShare = 0;
     double linkMbps = 0;
+    // Uses the fencing tokens of single workers.
+    bool takesWorkerFences = false;
 
     bool operator==(const Member&) const = default;
 };
--- a/libs/relay/include/relay/RelayedCalls.h
+++ b/libs/relay/include/relay/RelayedCalls.h
@@ -55,12 +55,13 @@
         std::optional<Milliseconds> clock;
         MonotonicTime clockAt;
         // Numbers that the relay has been told. A worker can come back at another address.
-        std::map<std::pair<scheduler::WorkerId, Address>, std::uint32_t> workers;
+        std::map<std::tuple<scheduler::WorkerId, Address, Revision>, std::uint32_t> workers;
         std::map<scheduler::GraphJobId, std::uint32_t> payloads;
         schema::RelayOrdersT batch;
         // Orders in the batch.
         std::vector<std::uint64_t> batchOrders;
         MonotonicTime avoidUntil;
+        bool takesWorkerFences = false;
     };
     struct Pending {
         DaemonId relay;
@@ -85,6 +86,8 @@
         MonotonicTime resetAt;
     };
 
+    // Returns true if the orders to the worker carry another fencing token than that of the term.
+    bool hasOwnFence(const node::WorkerTarget& target) const { return m_term && target.fence > *m_term; }
     // Returns the relay for an order to the worker, or null if it is called directly.
     Relay* findRelay(const node::WorkerTarget&);
     Route& updateRoute(const node::WorkerTarget&);
--- a/libs/relay/src/RelayRegistry.cpp
+++ b/libs/relay/src/RelayRegistry.cpp
@@ -41,6 +41,7 @@
         record.domain = member.domain.value();
         record.processor_share = member.processorShare;
         record.link_mbps = member.linkMbps;
+        record.takes_worker_fences = member.takesWorkerFences;
         return node::encodeRecord<schema::RelayMember>(record);
     }
 
@@ -50,7 +51,7 @@
         if (!record || record->node.empty() || record->address.empty())
             return std::nullopt;
         return Member { DaemonId(record->node), Incarnation(record->incarnation), Address(record->address), FailureDomain(record->domain),
-            record->processor_share, record->link_mbps };
+            record->processor_share, record->link_mbps, record->takes_worker_fences };
     }
 
 } // namespace
--- a/libs/relay/src/RelayServer.cpp
+++ b/libs/relay/src/RelayServer.cpp
@@ -104,8 +104,10 @@
 
 void RelayServer::learnNumbers(const schema::RelayOrdersT& orders)
 {
-    for (const auto& row : orders.workers)
-        m_session->workers[row->number] = { scheduler::WorkerId(row->id), Address(row->address), {} };
+    for (const auto& row : orders.workers) {
+        const auto fence = std::max(m_session->term, Revision(row->fence));
+        m_session->workers[row->number] = { scheduler::WorkerId(row->id), Address(row->address), {}, fence };
+    }
     for (const auto& row : orders.payloads)
         m_session->payloads[row->number] = row->text;
     // Numbers rise, and the leader tells a payload again after it has told as many others.
@@ -124,7 +126,7 @@
     if (m_session->openOrders >= maxOpenOrders)
         return addOutcome(m_session, order.order, RelayResult::NotSent);
     node::StartMessage message { parseRunName(*order.name), payload->second, order.checkpoint, order.ticket, order.lease_until_ms,
-        m_session->term, order.repeat, Milliseconds(order.send_before_ms - clockMs()) };
+        target->fence, order.repeat, Milliseconds(order.send_before_ms - clockMs()) };
     ++m_session->openOrders;
     m_calls.start(*target, message, [this, session = m_session, number = order.order](scheduler::StartResult result) {
         --session->openOrders;
@@ -138,8 +140,8 @@
     if (!target || !order.name || order.name->job.empty())
         return addOutcome(m_session, order.order, RelayResult::UnknownNumber);
     ++m_session->openOrders;
-    m_calls.stop(*target, parseRunName(*order.name), m_session->term,
-        [this, session = m_session, number = order.order](scheduler::StopResult result) {
+    m_calls.stop(
+        *target, parseRunName(*order.name), target->fence, [this, session = m_session, number = order.order](scheduler::StopResult result) {
             --session->openOrders;
             addOutcome(session, number, toRelayResult(result));
         });
@@ -151,7 +153,7 @@
     if (!target || !order.name || order.name->job.empty())
         return addOutcome(m_session, order.order, RelayResult::UnknownNumber);
     ++m_session->openOrders;
-    m_calls.pace(*target, parseRunName(*order.name), static_cast<int>(order.percent), m_session->term,
+    m_calls.pace(*target, parseRunName(*order.name), static_cast<int>(order.percent), target->fence,
         [this, session = m_session, number = order.order](bool isAccepted) {
             --session->openOrders;
             addOutcome(session, number, isAccepted ? RelayResult::Accepted : RelayResult::Refused);
@@ -168,7 +170,7 @@
         message.leaseUntilMs = order.lease_until_ms();
     message.acknowledgedEnd = scheduler::EndNumber(order.acknowledged_end());
     message.wait = std::max(std::chrono::duration_cast<Milliseconds>(waitUntil - m_clock.now()), Milliseconds(0));
-    message.fence = session->term;
+    message.fence = target->second.fence;
     message.isRepeat = order.repeat();
     ++session->openOrders;
     m_calls.poll(target->second, message, [this, session, order, waitUntil](const auto& report) {
--- a/libs/relay/src/RelayedCalls.cpp
+++ b/libs/relay/src/RelayedCalls.cpp
@@ -93,6 +93,10 @@
     }
     for (const auto& peer : peers)
         m_relays.try_emplace(peer.daemon, Relay { peer });
+    for (const auto& it : m_members) {
+        if (const auto relay = m_relays.find(it.node); relay != m_relays.end())
+            relay->second.takesWorkerFences = it.takesWorkerFences;
+    }
     m_transport.setRelays(peers);
 }
 
@@ -193,7 +197,7 @@
     const auto ways = route.ranked.size() + 1;
     for (std::size_t i = route.failedWays % ways; i < route.ranked.size(); ++i) {
         const auto it = m_relays.find(route.ranked[i]);
-        if (it != m_relays.end() && isUsable(it->second))
+        if (it != m_relays.end() && isUsable(it->second) && (it->second.takesWorkerFences || !hasOwnFence(target)))
             return &it->second;
     }
     return nullptr;
@@ -211,13 +215,14 @@
 
 std::uint32_t RelayedCalls::numberOf(Relay& relay, const node::WorkerTarget& target)
 {
-    const auto [it, isNew] = relay.workers.try_emplace({ target.id, target.address }, m_nextNumber);
+    const auto [it, isNew] = relay.workers.try_emplace({ target.id, target.address, target.fence }, m_nextNumber);
     if (!isNew)
         return it->second;
     auto row = std::make_unique<schema::RelayWorkerT>();
     row->number = m_nextNumber++;
     row->id = target.id.value();
     row->address = target.address.value();
+    row->fence = hasOwnFence(target) ? target.fence.value() : 0;
     relay.batch.workers.push_back(std::move(row));
     return it->second;
 }
--- a/libs/relay/tests/RelayWorld.h
+++ b/libs/relay/tests/RelayWorld.h
@@ -28,6 +28,8 @@
     std::vector<node::StartMessage> starts;
     std::vector<scheduler::RunRef> stops;
     std::vector<int> paces;
+    // Fencing tokens of all orders.
+    std::vector<Revision> fences;
     std::vector<SentPoll> polls;
     scheduler::StartResult startResult = scheduler::StartResult::Started;
     scheduler::PollReport report { scheduler::IncarnationTime(1), 1000, {}, {} };
@@ -39,13 +41,16 @@
     void start(const node::WorkerTarget&, const node::StartMessage& message, std::function<void(scheduler::StartResult)> done) override
     {
         starts.push_back(message);
+        fences.push_back(message.fence);
         if (!isSilent)
             boost::asio::post(m_loop, [this, done] { done(startResult); });
     }
 
-    void stop(const node::WorkerTarget&, const scheduler::RunRef& run, Revision, std::function<void(scheduler::StopResult)> done) override
+    void stop(
+        const node::WorkerTarget&, const scheduler::RunRef& run, Revision fence, std::function<void(scheduler::StopResult)> done) override
     {
         stops.push_back(run);
+        fences.push_back(fence);
         if (!isSilent)
             boost::asio::post(m_loop, [done] { done(scheduler::StopResult::Accepted); });
     }
@@ -54,14 +59,16 @@
         std::function<void(Expected<scheduler::PollReport, scheduler::PollFailure>)> done) override
     {
         polls.push_back({ target, message });
+        fences.push_back(message.fence);
         const auto failure = makeUnexpected(scheduler::PollFailure::NoAnswer);
         if (!isSilent)
             boost::asio::post(m_loop, [this, done, failure] { isCutOff ? done(failure) : done(report); });
     }
 
-    void pace(const node::WorkerTarget&, const scheduler::RunRef&, int percent, Revision, std::function<void(bool)> done) override
+    void pace(const node::WorkerTarget&, const scheduler::RunRef&, int percent, Revision fence, std::function<void(bool)> done) override
     {
         paces.push_back(percent);
+        fences.push_back(fence);
         if (!isSilent)
             boost::asio::post(m_loop, [done] { done(true); });
     }
@@ -103,11 +110,13 @@
         registerRelays();
     }
 
-    void registerRelays()
+    // Relays of an earlier version do not take fencing tokens of single workers.
+    void registerRelays(bool takeWorkerFences = true)
     {
         std::vector<Member> members;
         for (const auto& relay : relays)
-            members.push_back({ relay->peer.daemon, relay->peer.incarnation, relay->peer.address, FailureDomain("north"), 0.5, 200 });
+            members.push_back(
+                { relay->peer.daemon, relay->peer.incarnation, relay->peer.address, FailureDomain("north"), 0.5, 200, takeWorkerFences });
         calls.setMembers(members);
         for (const auto& relay : relays)
             calls.onStatus(relay->peer, link::PeerStatus::Connected);
--- a/libs/relay/tests/RelayedCallsTests.cpp
+++ b/libs/relay/tests/RelayedCallsTests.cpp
@@ -55,6 +55,35 @@
     CHECK(relay->workers.paces == std::vector<int> { 40 });
 }
 
+// Guards against a relay that sends orders to a restarted worker with the fencing token of the term, below that which the worker has seen.
+TEST_CASE("Orders to a worker with a fencing token of its own carry it, through a relay that takes it or directly")
+{
+    const bool takesFences = GENERATE(true, false);
+    RelayWorld world(1);
+    world.registerRelays(takesFences);
+    auto target = makeTarget();
+    const auto sendAll = [&](Revision fence) {
+        target.fence = fence;
+        auto startMessage = makeStart("job");
+        startMessage.fence = fence;
+        auto pollMessage = makePoll();
+        pollMessage.fence = fence;
+        world.calls.start(target, startMessage, [](auto) {});
+        world.calls.stop(target, makeRun("job"), fence, [](auto) {});
+        world.calls.pace(target, makeRun("job"), 40, fence, [](auto) {});
+        world.calls.poll(target, pollMessage, [](const auto&) {});
+        world.run();
+    };
+    auto& relayed = world.relays.front()->workers;
+    sendAll(Revision(7));
+    CHECK(relayed.fences == std::vector<Revision>(4, Revision(7)));
+    relayed.fences.clear();
+    sendAll(Revision(9));
+    auto& used = takesFences ? relayed : world.leader.workers;
+    CHECK(used.fences == std::vector<Revision>(4, Revision(9)));
+    CHECK((takesFences ? world.leader.workers : relayed).fences.empty());
+}
+
 TEST_CASE("A relay gets the payload of a job once for all its tasks")
 {
     RelayWorld world(1);
--- a/libs/scheduler/include/scheduler/Fleet.h
+++ b/libs/scheduler/include/scheduler/Fleet.h
@@ -31,6 +31,9 @@
 // nothing while the worker's clock is unknown.
 std::optional<std::int64_t> extendLease(const State&, Worker&, MonotonicTime now);
 
+// Returns the fencing token of orders to the worker.
+Revision getFence(const State&, const Worker&);
+
 // Returns true if the starts that were sent to the worker had reached it at that time, or were lost.
 bool areOrdersSettled(const Worker&, MonotonicTime);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -329,6 +329,8 @@
     MonotonicTime leaseEnd;
     // Time of the last order that asked to extend the lease.
     std::optional<MonotonicTime> leaseOrderedAt;
+    // Fencing token from which on orders are meant for this incarnation; none if the worker has not restarted in this term.
+    Revision incarnationFence;
     // The worker has answered an order that carried the fencing token of this term.
     bool hasSeenFence = false;
     MonotonicTime lastAnswerAt;
@@ -405,8 +407,10 @@
 
 struct State {
     Parameters parameters;
-    // Revision of the term record; the fencing token of all orders.
+    // Revision of the term record; the fencing token of orders to workers that have not restarted in the term.
     Revision term;
+    // Revision of the last commit of this term, which is below the revision of any later term.
+    Revision committedRevision;
     MonotonicTime termStartedAt;
     std::map<QueueName, schema::QueuePolicyT> queues;
     std::map<QueueName, QueueSizes> queueSizes;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -106,6 +106,8 @@
                 stopRun(state, ref, StopReason::UncertainStart, now, orders);
         }
         worker.leaseEnd = std::max(worker.leaseEnd, computeMisdirectedLeaseEnd(state, worker));
+        // The next incarnation refuses the orders for the former one that arrive after its first order.
+        worker.incarnationFence = state.committedRevision;
         resetIncarnation(worker, born);
     }
 
@@ -303,6 +305,8 @@
     return until;
 }
 
+Revision getFence(const State& state, const Worker& worker) { return std::max(state.term, worker.incarnationFence); }
+
 bool areOrdersSettled(const Worker& worker, MonotonicTime at)
 {
     return !worker.leaseOrderedAt || at - *worker.leaseOrderedAt > maxOrderDelay;
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -161,6 +161,7 @@
         return;
     job->committed = version;
     job->recordRevision = recordRevision;
+    state.committedRevision = std::max(state.committedRevision, recordRevision);
     job->isCommitInFlight = false;
     for (auto& [number, occurrence] : job->occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -216,6 +216,19 @@
     CHECK(poll.extendsLease == isConfirmed);
 }
 
+// TWICE: an order for the former incarnation that arrived after the first order for the next one was carried out by it. Also guards against
+// a token that a later term would not exceed: it is that of a commit, which no later term precedes.
+TEST_CASE("Orders to a worker that restarted carry a fencing token above those of its former incarnation", "[restart]")
+{
+    OpenStart it;
+    const Revision committed(it.state.term.value() + 5);
+    CHECK(getFence(it.state, it.worker) == it.state.term);
+    onCommitted(it.state, it.ref.task.job, it.state.jobs.at(it.ref.task.job).version, committed);
+    CHECK(getFence(it.state, it.worker) == it.state.term);
+    it.listNextIncarnation(it.now + Milliseconds(100));
+    CHECK(getFence(it.state, it.worker) == committed);
+}
+
 // Guards against ends that are never acknowledged: the poll that carried the acknowledgement failed, the next one carries none, and the
 // worker is polled rarely from then on.
 TEST_CASE("An idle worker is polled again at once while an end of it is not acknowledged", "[restart]")
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -414,7 +414,7 @@
         return post(m_now, [answer] { answer(StartResult::PermitExpired); });
     if (!until)
         return post(m_now, [answer] { answer(StartResult::NotSent); });
-    const auto fence = m_state.term.value();
+    const auto fence = getFence(m_state, *worker).value();
     const bool isOrderLost = happens(m_probabilities.lostOrder);
     const bool isAnswerLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     const auto at = randomArrivalTime();
@@ -441,7 +441,8 @@
 void SchedulerWorld::send(const StopOrder& order)
 {
     const auto generation = m_leaderGeneration;
-    const auto fence = m_state.term.value();
+    const auto* worker = findWorker(m_state, order.worker);
+    const auto fence = worker ? getFence(m_state, *worker).value() : 0;
     const bool isOrderLost = happens(m_probabilities.lostOrder) || !isAddressKnown(order.worker);
     const bool isAnswerLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     const auto answer = [this, generation, order](StopResult result) {
@@ -468,7 +469,7 @@
     const auto sentAt = m_now;
     const auto until = order.extendsLease ? scheduler::extendLease(m_state, *worker, m_now) : std::nullopt;
     const auto acknowledged = m_rules.acksRequireCommit ? order.acknowledgedEnd : worker->lastSeenEnd;
-    const auto fence = m_state.term.value();
+    const auto fence = getFence(m_state, *worker).value();
     const bool isLost = happens(m_probabilities.lostAnswer) || areAnswersLost(order.worker);
     constexpr Milliseconds timeout { 600 };
     const auto at = randomArrivalTime();
@@ -492,7 +493,7 @@
         };
         // Executed after the caller has timed out.
         const bool isLate = m_now - sentAt > timeout;
-        const bool isOtherIncarnation = isLate && target.born != *receivedBy;
+        const bool isOtherIncarnation = target.born != *receivedBy;
         // The host of a process that has crashed refuses the connection.
         if (!target.isUp && !isLate)
             return fail();
