--- a/tests/soak/FaultInjector.cpp
+++ b/tests/soak/FaultInjector.cpp
@@ -24,15 +24,6 @@
     constexpr std::uint64_t minThrottlePauseMs = 1000;
     constexpr std::uint64_t maxThrottlePauseMs = 5000;
     constexpr std::uint64_t refusalSeedMask = 0x5bd1e995;
-    constexpr std::uint64_t restartSeedMask = 0x9e3779b9;
-    constexpr std::uint64_t minRestartMs = 50;
-    constexpr std::uint64_t maxRestartMs = 900;
-    constexpr std::uint64_t minRestartPauseMs = 500;
-    constexpr std::uint64_t maxRestartPauseMs = 3000;
-    constexpr std::uint64_t maxTimeToCutMs = 1500;
-    // Executors grant leases of 10 s at most.
-    constexpr std::uint64_t minCutMs = 10'500;
-    constexpr std::uint64_t maxCutMs = 13'000;
     constexpr std::uint64_t minRefusalMs = 500;
     constexpr std::uint64_t maxRefusalMs = 8000;
     constexpr std::uint64_t minRefusalPauseMs = 500;
@@ -65,7 +56,6 @@
     , m_random(seed)
     , m_throttleRandom(~seed)
     , m_refusalRandom(seed ^ refusalSeedMask)
-    , m_restartRandom(seed ^ restartSeedMask)
     , m_hasDaemonFault(cluster.size().daemons)
     , m_daemonStartedAt(cluster.size().daemons)
     , m_hasExecutorFault(cluster.size().executors)
@@ -105,7 +95,6 @@
     auto nextFault = steadyNow() + randomDuration(100, 600);
     auto nextThrottle = steadyNow() + throttlePause(m_throttleRandom);
     auto nextRefusal = steadyNow() + soak::randomDuration(m_refusalRandom, minRefusalPauseMs, maxRefusalPauseMs);
-    auto nextRestart = steadyNow() + soak::randomDuration(m_restartRandom, minRestartPauseMs, maxRestartPauseMs);
     auto nextEventRead = steadyNow();
     while (steadyNow() < end) {
         superviseExecutors();
@@ -121,10 +110,6 @@
             turnAwayOneDaemon();
             nextRefusal = steadyNow() + soak::randomDuration(m_refusalRandom, minRefusalPauseMs, maxRefusalPauseMs);
         }
-        if (m_hasCutRestarts && steadyNow() >= nextRestart) {
-            restartAndCutExecutor();
-            nextRestart = steadyNow() + soak::randomDuration(m_restartRandom, minRestartPauseMs, maxRestartPauseMs);
-        }
         if (m_storeOutages)
             m_storeOutages->update();
         if (steadyNow() >= nextEventRead) {
@@ -368,40 +353,6 @@
         randomDuration(50, 3000), [this, executor] { restartExecutor(executor); }, name);
 }
 
-void FaultInjector::restartAndCutExecutor()
-{
-    const auto executor = static_cast<unsigned>(m_restartRandom.below(m_cluster.size().executors));
-    const auto downTime = soak::randomDuration(m_restartRandom, minRestartMs, maxRestartMs);
-    const auto timeToCut = soak::randomDuration(m_restartRandom, 0, maxTimeToCutMs);
-    if (m_hasExecutorFault[executor])
-        return;
-    m_hasExecutorFault[executor] = true;
-    ++m_faultCount;
-    std::cout << "fault=restart_and_cut executor=" << executor << " down_ms=" << downTime.count() << " up_ms=" << timeToCut.count() << '\n';
-    const auto name = Cluster::executorName(executor);
-    (void)m_cluster.processes().sendSignal(name, SIGKILL);
-    (void)m_cluster.processes().waitForExit(name, exitTimeout);
-    m_checker.recordKilled(name, steadyNow());
-    m_cluster.reportExecutorDown(executor);
-    scheduleRecovery(
-        downTime,
-        [this, executor, timeToCut] {
-            restartExecutor(executor);
-            scheduleRecovery(timeToCut, [this, executor] { cutExecutor(executor); });
-        },
-        name);
-}
-
-void FaultInjector::cutExecutor(unsigned executor)
-{
-    auto& link = m_cluster.executorLink(executor);
-    link.setFault({ .isBlockedToTarget = true, .isBlockedToCaller = true });
-    scheduleRecovery(soak::randomDuration(m_restartRandom, minCutMs, maxCutMs), [&link] {
-        link.setFault({});
-        link.reset();
-    });
-}
-
 void FaultInjector::pauseExecutor(unsigned executor)
 {
     if (m_hasExecutorFault[executor])
--- a/tests/soak/FaultInjector.h
+++ b/tests/soak/FaultInjector.h
@@ -19,8 +19,6 @@
 
     // Lets the store also turn single daemons away, mostly the leader, while it serves the others.
     void enableSingleRefusals() { m_hasSingleRefusals = true; }
-    // Lets executors restart under their ids within a second, and cuts each one off soon after it is back, for longer than a lease lasts.
-    void enableCutRestarts() { m_hasCutRestarts = true; }
     // Lets the store also have outages as a whole, the last one just before each time without faults.
     void enableStoreOutages(std::uint64_t seed) { m_storeOutages.emplace(m_cluster, m_checker, seed); }
 
@@ -60,8 +58,6 @@
     // The daemon that wrote last that it leads, if one does. A paused or cut off daemon may still be named after it was replaced.
     std::optional<unsigned> findLeader();
     void killExecutor(unsigned);
-    void restartAndCutExecutor();
-    void cutExecutor(unsigned);
     void pauseExecutor(unsigned);
     void pauseStore();
     void degradeStore();
@@ -77,9 +73,7 @@
     // Separate, so that the other faults of a seed are drawn in the same order as without throttling.
     Random m_throttleRandom;
     Random m_refusalRandom;
-    Random m_restartRandom;
     bool m_hasSingleRefusals = false;
-    bool m_hasCutRestarts = false;
     bool m_isOneTurnedAway = false;
     std::optional<StoreOutages> m_storeOutages;
     std::vector<Recovery> m_recoveries;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -16,7 +16,7 @@
 
 Usage:
   platform_soak BINARIES [--seed=N] [--seconds=N] [--daemons=N] [--executors=N] [--callers=N]
-                         [--cancelling-callers=N] [--early-cancels=N] [--single-refusals] [--cut-restarts] [--keep]
+                         [--cancelling-callers=N] [--early-cancels=N] [--single-refusals] [--keep]
 
 Options:
   --seed=N       Seed of the faults and the load; the daemons use relays with an even one [default: 1].
@@ -27,7 +27,6 @@
   --cancelling-callers=N  Number of callers whose jobs have long tasks and are cancelled [default: 0].
   --early-cancels=N       Number of callers that cancel before their submission has an answer, with outages of the store [default: 0].
   --single-refusals       Let the store turn single daemons away.
-  --cut-restarts          Let executors restart under their ids, and cut them off soon after.
   --keep         Keep the logs even if the run passes.
 
 Exit codes: 0 no violation, 1 an invariant was broken or a process did not restart, 2 the processes could not be started.
@@ -105,8 +104,6 @@
     FaultInjector faults(cluster, checker, seed);
     if (arguments.at("--single-refusals").asBool())
         faults.enableSingleRefusals();
-    if (arguments.at("--cut-restarts").asBool())
-        faults.enableCutRestarts();
     Callers callers(cluster, checker, getNumber(arguments, "--callers"), seed);
     callers.addCancellingCallers(getNumber(arguments, "--cancelling-callers"), seed);
     const auto earlyCancels = getNumber(arguments, "--early-cancels");
