Review case 7: an ended task runs again in the next life of its executor

A start without an answer is repeated, the task is done and its end acknowledged; the executor restarts under its id and carries the first start out.

--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -7,7 +7,7 @@
 tmp=$(mktemp -d)
 value_bytes=1048576
 record=$dir/record.txt
-declare -A pids lives
+declare -A pids lives proxy_port
 begun=$(date +%s%3N)
 : > "$record"
 
@@ -57,10 +57,28 @@
         sleep 0.02
     done
     [ -n "$port" ] || unusable "no executor $1"
-    python3 "$here/tool.py" register "127.0.0.1:$store_port" "$1" "127.0.0.1:$port" "$2" "$3" "$cpu"
+    # Behind a proxy, if it has one.
+    printf %s "$port" > "$tmp/$1.target"
+    local fence=""
+    [ -z "${proxy_port[$1]:-}" ] || fence=$(sed -n 's/.*"fence":\([0-9]*\).*/\1/p' "$tmp/$1.proxy")
+    fence=${fence:-0}
+    port=${proxy_port[$1]:-$port}
+    python3 "$here/tool.py" register "127.0.0.1:$store_port" "$1" "127.0.0.1:$port" "$2" "$3" "$cpu" "$fence"
     note "executor $1 started in $2, $3"
 }
 
+# start_proxy ID: a proxy in front of the executor ID, to be started before it. It keeps the next start once $tmp/ID.arm exists.
+start_proxy() {
+    python3 "$here/late_proxy.py" "$tmp/$1.target" "$tmp/$1.arm" > "$tmp/$1.proxy" 2>&1 &
+    pids[proxy_$1]=$!
+    for _ in $(seq 100); do
+        proxy_port[$1]=$(sed -n 's/^listening port=//p' "$tmp/$1.proxy")
+        [ -n "${proxy_port[$1]}" ] && return
+        sleep 0.02
+    done
+    unusable "no proxy of $1"
+}
+
 # The platform lists the machine of a crashed executor as down.
 crash_executor() {
     { kill -9 "${pids[$1]}" && wait "${pids[$1]}"; } 2>/dev/null
--- a/review/standin-2/tool.py
+++ b/review/standin-2/tool.py
@@ -3,7 +3,9 @@
 
 tool.py ports N                                        prints N free ports of the loopback address
 tool.py call METHOD HOST:PORT PATH [BODY]              sends one request and prints the status and the body; 000 without an answer
-tool.py register STORE ID ADDRESS ZONE RACK CPU        tells the store that an executor is up, with the start time that the executor gives
+tool.py register STORE ID ADDRESS ZONE RACK CPU [FENCE]
+                                                       tells the store that an executor is up, with the start time that the executor gives
+                                                       to a call with this fence, which must not be below one that it has seen
 """
 
 import http.client
@@ -28,10 +30,10 @@
         connection.close()
 
 
-def register(store, executor, address, zone, rack, cpu):
+def register(store, executor, address, zone, rack, cpu, fence="0"):
     for _ in range(100):
-        status, body = call("POST", address, "/hold", '{"fence":0,"ack_cursor":0}')
-        if status in (200, 409):
+        status, body = call("POST", address, "/hold", '{"fence":%s,"ack_cursor":0}' % fence)
+        if status == 200:
             break
         time.sleep(0.03)
     entry = {
