--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -14,6 +14,9 @@
 void resendStop(const RunRef&, Run&, MonotonicTime now, Orders&);
 void onStopResult(State&, const RunRef&, StopResult, MonotonicTime now, Orders&);
 
+// Reports that starts of the run have no answer, so that an incarnation of the worker may still carry them out.
+void reportOpenStarts(const RunRef&, const Run&, const char* reason, MonotonicTime now, Orders&);
+
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
 void checkRuns(State&, MonotonicTime now, Orders&);
 
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -64,11 +64,20 @@
         stopCopies(state, ref.task, now, orders);
     }
 
+    // The task has been executed twice, or the worker lists an end again that an earlier leader has processed.
+    void reportRepeatedEnd(const Worker& worker, const ListedEnd& end, const char* reason, Orders& orders)
+    {
+        if (end.kind == EndKind::Done)
+            orders.emplace_back(Decision { "end_repeated", toString(end.run), worker.id, reason, {}, end.number.value() });
+    }
+
     // Handles the end of a run that was released after its lease expired. A completed task counts, so that the work is not repeated.
-    void processLateEnd(
-        State& state, Job& job, const Task& task, const ListedEnd& end, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+    void processLateEnd(State& state, const Worker& worker, Job& job, const Task& task, const ListedEnd& end, MonotonicTime now,
+        std::int64_t wallMs, Orders& orders)
     {
         const auto& step = getStepSpec(job, end.run.task.step);
+        if (task.isDone && !step.speculative && !step.gang)
+            reportRepeatedEnd(worker, end, "task_done", orders);
         const bool isWanted = end.kind == EndKind::Done && !task.isDone && !hasEnded(job) && !step.long_running && !step.gang;
         if (!isWanted || end.run.run > task.lastRun)
             return;
@@ -83,9 +92,9 @@
         const auto* found = findRun(state, end.run);
         const bool isOurs = found && found->worker == worker.id;
         if (!job || !task)
-            return;
+            return reportRepeatedEnd(worker, end, "job_over", orders);
         if (!isOurs)
-            return processLateEnd(state, *job, *task, end, now, wallMs, orders);
+            return processLateEnd(state, worker, *job, *task, end, now, wallMs, orders);
         const Run run = *found;
         if (!end.checkpoint.empty())
             task->checkpoint = end.checkpoint;
@@ -93,6 +102,7 @@
         const auto ran = std::chrono::duration_cast<Milliseconds>(now - run.createdAt);
         orders.emplace_back(
             Decision { std::string("run_") + toString(end.kind), toString(end.run), worker.id, "end_listed", {}, ran.count() });
+        reportOpenStarts(end.run, run, "ended", now, orders);
         recordRunEnd(state, worker, *job, *task, run, end.kind, now, orders);
         if (end.kind == EndKind::Done || end.kind == EndKind::Failed)
             clearCrashHistory(*task);
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -17,19 +17,9 @@
     // Consecutive polls without an answer after which a worker counts as silent.
     constexpr unsigned minMissedPolls = 2;
 
-    // Its start may still be carried out, by this incarnation of the worker or by the next one.
-    void reportOpenStarts(const RunRef& ref, const Run& run, MonotonicTime now, Orders& orders)
-    {
-        if (!mayArriveLate(run))
-            return;
-        const auto age = std::chrono::duration_cast<Milliseconds>(now - run.lastStartAt);
-        orders.emplace_back(
-            Decision { "run_starts_open", toString(ref), run.worker, run.isListed ? "listed" : "not_listed", age, run.openStarts });
-    }
-
     void releaseLapsedRun(State& state, const RunRef& ref, const Run& run, const Worker& worker, MonotonicTime now, Orders& orders)
     {
-        reportOpenStarts(ref, run, now, orders);
+        reportOpenStarts(ref, run, run.isListed ? "listed" : "not_listed", now, orders);
         const auto sinceOrder = std::chrono::duration_cast<Milliseconds>(now - worker.leaseOrderedAt.value_or(state.termStartedAt));
         orders.emplace_back(Decision { "run_lapsed", toString(ref), worker.id, "lease_over",
             std::chrono::duration_cast<Milliseconds>(now - worker.lastAnswerAt), sinceOrder.count() });
@@ -93,6 +83,14 @@
 
 } // namespace
 
+void reportOpenStarts(const RunRef& ref, const Run& run, const char* reason, MonotonicTime now, Orders& orders)
+{
+    if (!mayArriveLate(run))
+        return;
+    const auto age = std::chrono::duration_cast<Milliseconds>(now - run.lastStartAt);
+    orders.emplace_back(Decision { "run_starts_open", toString(ref), run.worker, reason, age, run.openStarts });
+}
+
 void releaseRun(State& state, const RunRef& ref, MonotonicTime now)
 {
     auto* job = findJob(state, ref.task.job);
