--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -69,7 +69,7 @@
 std::string toString(const RunRef&);
 
 enum class RunPhase {
-    // Waiting for the commit that records it.
+    // Waiting for the commit that records it, or that its first start has no answer.
     Recording,
     // Recorded; its start order waits until the view of draining workers and closed domains is recent enough and, for a queue with an
     // adviser, a permit is valid.
@@ -123,6 +123,8 @@
     Revision startFence;
     // For a run of an earlier leader: its record does not rule out starts without an answer.
     bool hasUnknownStarts = false;
+    // A start order of the run has had no answer, in this term or an earlier one.
+    bool hadUnansweredStart = false;
     bool isOrderInFlight = false;
     int percent = 0;
     MonotonicTime percentChangedAt;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -150,7 +150,7 @@
             worker.hasUnknownRuns = true;
             return;
         }
-        const bool isNew = run->phase == RunPhase::Starting || run->phase == RunPhase::Recorded || run->phase == RunPhase::Unverified;
+        const bool isNew = run->phase != RunPhase::Running && run->phase != RunPhase::Stopping;
         if (isNew) {
             run->startConfirmedAt = now;
             run->percentChangedAt = now;
@@ -171,6 +171,7 @@
         if (!mayArriveAfter(state, *run, now)) {
             run->openStarts = 0;
             run->hasUnknownStarts = false;
+            run->hadUnansweredStart = false;
         }
         // A task that lasts has no other change that would be stored, and must not be idle for long after the loss of its worker and of the
         // leader.
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -89,6 +89,7 @@
             run.isCrashCounted = runRecord->crash_counted;
             run.phase = RunPhase::Unverified;
             run.hasUnknownStarts = !runRecord->starts_answered;
+            run.hadUnansweredStart = runRecord->start_unanswered;
             run.createdAt = now;
             run.percentChangedAt = now;
             task->runs.push_back(run);
@@ -130,6 +131,7 @@
         record->born_ms = run.born.value();
         record->crash_counted = run.isCrashCounted;
         record->starts_answered = run.isListed && !mayArriveLate(run);
+        record->start_unanswered = run.hadUnansweredStart;
         if (const auto worker = state.workers.find(run.worker); worker != state.workers.end())
             record->address = worker->second.address.value();
         return record;
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -104,7 +104,7 @@
 
 bool hasEnded(const Job& job) { return hasEnded(job.state); }
 
-bool isUnsent(const Run& run) { return run.phase == RunPhase::Recording || (run.phase == RunPhase::Recorded && run.startRetries == 0); }
+bool isUnsent(const Run& run) { return (run.phase == RunPhase::Recording || run.phase == RunPhase::Recorded) && run.startRetries == 0; }
 
 bool mayArriveLate(const Run& run) { return run.openStarts > 0 || run.hasUnknownStarts; }
 
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -146,6 +146,17 @@
         orders.emplace_back(StartOrder { ref, run.worker, isRepeat });
     }
 
+    // A run of which this is not stored was started once at most. So the next leader, if a worker lists it, knows that no start of it is
+    // left.
+    void recordUnansweredStart(State& state, const RunRef& ref, Run& run, MonotonicTime now)
+    {
+        if (std::exchange(run.hadUnansweredStart, true))
+            return;
+        auto& job = *findJob(state, ref.task.job);
+        markDirty(state, job, now, true);
+        run.recordedInVersion = job.version;
+    }
+
     bool isWithheld(StartResult result)
     {
         return result == StartResult::NotSent || result == StartResult::StaleView || result == StartResult::WorkerLeaving
@@ -222,6 +233,10 @@
         return stopRun(state, ref, StopReason::UncertainStart, now, orders);
     }
     ++run.startRetries;
+    if (findJob(state, ref.task.job)->committed < run.recordedInVersion) {
+        run.phase = RunPhase::Recording;
+        return;
+    }
     emitStart(state, ref, run, true, now, orders);
 }
 
@@ -232,7 +247,9 @@
     if (!run)
         return;
     run->isOrderInFlight = false;
-    if (result != StartResult::NoAnswer && run->openStarts > 0)
+    if (result == StartResult::NoAnswer)
+        recordUnansweredStart(state, ref, *run, now);
+    else if (run->openStarts > 0)
         --run->openStarts;
     auto* worker = findWorker(state, run->worker);
     if (run->phase != RunPhase::Starting) {
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -1,7 +1,4 @@
-#include "SchedulerWorld.h"
-#include "scheduler/Fleet.h"
-#include "scheduler/Placement.h"
-#include "scheduler/RunStarts.h"
+#include "OpenStart.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -43,6 +40,8 @@
         onCommitted(state, GraphJobId("a"), state.jobs.at(GraphJobId("a")).version, Revision(1));
         sendRecordedStarts(state, now, orders);
         onStartResult(state, ref, StartResult::NoAnswer, now, orders);
+        onCommitted(state, GraphJobId("a"), state.jobs.at(GraphJobId("a")).version, Revision(1));
+        sendRecordedStarts(state, now, orders);
         onStartResult(state, ref, StartResult::Started, now, orders);
         PollReport report { .born = worker.born, .clockMs = 1 };
         report.running.push_back({ ref, {}, 10, 0 });
@@ -107,3 +106,26 @@
     onPollReport(start.state, start.worker.id, { .born = entry.born, .clockMs = 1 }, later, later, 0, start.orders);
     CHECK(!findRun(start.state, start.ref));
 }
+
+// TWICE: the next leader would not know of a start without an answer, as it sees neither how many starts were sent nor when.
+TEST_CASE("A start is not repeated before it is stored that the first one has no answer", "[late]")
+{
+    OpenStart it;
+    const auto& job = it.state.jobs.at(it.ref.task.job);
+    const auto isRepeat = [](const Order& order) {
+        const auto* start = std::get_if<StartOrder>(&order);
+        return start && start->isRepeat;
+    };
+    onStartResult(it.state, it.ref, StartResult::NoAnswer, it.now, it.orders);
+    sendRecordedStarts(it.state, it.now, it.orders);
+    CHECK(std::ranges::none_of(it.orders, isRepeat));
+    CHECK(job.isUrgent);
+    const auto record = makeProgressRecord(it.state, job);
+    CHECK(record.tasks.front()->runs.front()->start_unanswered);
+    onCommitted(it.state, job.id, job.version, Revision(2));
+    sendRecordedStarts(it.state, it.now, it.orders);
+    CHECK(std::ranges::count_if(it.orders, isRepeat) == 1);
+    // The second one is repeated at once.
+    onStartResult(it.state, it.ref, StartResult::NoAnswer, it.now, it.orders);
+    CHECK(std::ranges::count_if(it.orders, isRepeat) == 2);
+}
