--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -248,10 +248,32 @@
     }
 };
 
+// An end that a worker has listed and that is not acknowledged yet.
 struct UncommittedEnd {
     EndNumber number;
-    GraphJobId job;
+    RunRef run;
+    // Version of the job's progress that must be stored first.
     ProgressVersion requiredVersion;
+    MonotonicTime listedAt;
+    // The acknowledgement waits until then, because a start of the task may be carried out late.
+    std::optional<MonotonicTime> heldUntil;
+    bool isHoldReported = false;
+    // Counted in AckDelays::delayed.
+    bool isDelayCounted = false;
+};
+
+// A start without an answer, of a run that is over. The worker's next incarnation may still carry it out.
+struct LateStart {
+    WorkerId worker;
+    // Latest time at which the worker carries it out.
+    MonotonicTime until;
+};
+
+// Ends that workers have listed, and those of them whose acknowledgement was held back. Old ones count less.
+struct AckDelays {
+    std::uint64_t listed = 0;
+    std::uint64_t delayed = 0;
+    MonotonicTime halvedAt;
 };
 
 struct WorkerHealth {
@@ -368,6 +390,8 @@
     std::deque<UncommittedEnd> uncommittedEnds;
     // The last report held as many ends as fit.
     bool areEndsCut = false;
+    // The first of the uncommitted ends waits for a start that may be carried out late.
+    bool isHoldingEnds = false;
 
     WorkerHealth health;
     // Runs of suspected tasks that may still crash the worker; updated at each placement.
@@ -411,6 +435,10 @@
     // Time from the sending of an order after which it has been carried out or is lost: 2 s until the worker has it, over a relay and a
     // connection that is still to be opened, and 12 s for which a worker may leave it (docs/platform.md).
     Milliseconds maxOrderDelay { 14'000 };
+    // An end that is acknowledged later than this after it was listed counts as delayed. Half of the time that operators allow (ack_ms).
+    Milliseconds ackDelayLimit { 2000 };
+    // Share of the ends whose acknowledgement may be delayed for starts that may be carried out late. Operators allow a fifth.
+    unsigned maxDelayedAckPercent = 10;
     // Starts are withheld while the view of draining workers, or of domains closed by operators, is older than this.
     Milliseconds workerViewLimit { 1300 };
     Milliseconds operatorViewLimit { 3500 };
@@ -465,6 +493,9 @@
     MonotonicTime standingTasksCheckedAt;
     // Standing tasks that no worker executed at the last check.
     std::size_t idleStandingTasks = 0;
+    // By task. Expired entries are removed at each tick.
+    std::map<TaskRef, std::vector<LateStart>> lateStarts;
+    AckDelays ackDelays;
     // Runs in phase Recorded, in the order of their commits. Entries whose run is gone or in another phase are ignored.
     std::vector<RunRef> recordedRuns;
 };
@@ -492,6 +523,8 @@
 // Returns true if a start order of the run has no answer, or may have none, so that the worker may still carry it out, whatever it answered
 // to later ones.
 bool mayArriveLate(const Run&);
+// Returns the latest time at which a worker carries out a start order of the run.
+MonotonicTime computeLastArrival(const State&, const Run&);
 // Returns true if a start order of the run may still be carried out after this time.
 bool mayArriveAfter(const State&, const Run&, MonotonicTime);
 // Returns the number of the job's runs that may exist on workers.
--- a/libs/scheduler/include/scheduler/RunEnds.h
+++ b/libs/scheduler/include/scheduler/RunEnds.h
@@ -7,7 +7,4 @@
 // Handles the end of a run that its worker has listed.
 void onEnd(State&, Worker&, const ListedEnd&, MonotonicTime now, std::int64_t wallMs, Orders&);
 
-// Advances the acknowledgement cursor past the ends whose effects are committed.
-void advanceEndCursor(State&, Worker&);
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Fleet.h"
 
+#include "scheduler/EndAcks.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/RunEnds.h"
 #include "scheduler/Runs.h"
@@ -23,6 +24,8 @@
     constexpr Milliseconds pollDelay { 20 };
     // Longer while ends are not acknowledged, because the worker then answers polls immediately.
     constexpr Milliseconds uncommittedPollDelay { 80 };
+    // Longer still while they wait for starts that may be carried out late, which takes seconds.
+    constexpr Milliseconds heldEndsPollDelay { 200 };
     constexpr Milliseconds failedPollDelay { 250 };
     // The leader suspects its own link when this many workers with runs, and this share of them, do not answer.
     constexpr std::size_t minSilentWorkers = 3;
@@ -83,6 +86,7 @@
         worker.paceTrim = 1.0;
         worker.minSlacks.clear();
         worker.areEndsCut = false;
+        worker.isHoldingEnds = false;
         worker.hasUnknownRuns = false;
         worker.missedPolls = 0;
         worker.isShownUp = false;
@@ -395,11 +399,7 @@
 
 MonotonicTime computeUnseenRunEnd(const State& state, const Run& run)
 {
-    const auto& parameters = state.parameters;
-    // An earlier leader may have gone on with starts for as long as it went on extending leases.
-    const auto earlierTermEnd = state.termStartedAt + parameters.storeSilenceLimit;
-    const auto lastStartAt = run.hasUnknownStarts ? std::max(run.lastStartAt, earlierTermEnd) : run.lastStartAt;
-    return lastStartAt + parameters.maxOrderDelay + onLocalClock(parameters, parameters.maxLease);
+    return computeLastArrival(state, run) + onLocalClock(state.parameters, state.parameters.maxLease);
 }
 
 MonotonicTime computeEarlierTermLeaseEnd(const State& state, const Run& run)
@@ -449,7 +449,8 @@
     controlPace(state, *worker, now, orders);
     worker->acknowledgedEnd = std::max(worker->acknowledgedEnd, worker->polledEnd);
     const bool isAcknowledged = worker->acknowledgedEnd >= worker->lastCommittedEnd;
-    const auto pause = worker->uncommittedEnds.empty() && isAcknowledged ? pollDelay : uncommittedPollDelay;
+    const auto unacknowledgedDelay = worker->isHoldingEnds ? heldEndsPollDelay : uncommittedPollDelay;
+    const auto pause = worker->uncommittedEnds.empty() && isAcknowledged ? pollDelay : unacknowledgedDelay;
     const bool isIdle = worker->runs.empty() && worker->uncommittedEnds.empty() && isAcknowledged && !worker->hasUnknownRuns;
     worker->nextPollAt = now + (isIdle ? idlePollInterval : pause);
 }
@@ -498,7 +499,7 @@
         const bool isDue = worker.nextPollAt <= now || (!worker.runs.empty() && worker.nextPollAt > now + failedPollDelay * 4);
         if (worker.isPollInFlight || !isReachable || !isDue || worker.awaitsFence)
             continue;
-        advanceEndCursor(state, worker);
+        advanceEndCursor(state, worker, now, orders);
         worker.isPollInFlight = true;
         const bool isFirst = !worker.hasSeenFence || worker.missedPolls > 0;
         // A worker that has been silent may have restarted, so the number of an end could mean another end, and the lease would be one on
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Jobs.h"
 
+#include "scheduler/LateStarts.h"
 #include "scheduler/Reservations.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Urgency.h"
@@ -201,8 +202,10 @@
     job.acceptedAt = now - age;
     job.dueAt = job.acceptedAt + work + Milliseconds(policy.target_duration_ms);
     state.active.insert(id);
-    if (progress)
+    if (progress) {
         restoreProgress(state, job, *progress, now);
+        restoreLateStarts(state, *progress);
+    }
     openDueOccurrences(state, job, now, wallMs);
     markWaiting(state, job);
     return &job;
@@ -219,6 +222,7 @@
     job.endedWallMs = progress.ended_at_ms;
     // Counted from here, as the time of day of the leader that ended the job may differ by any amount.
     job.endedAt = now;
+    restoreLateStarts(state, progress);
 }
 
 bool openDueOccurrences(State& state, Job& job, MonotonicTime now, std::int64_t wallMs)
@@ -289,6 +293,7 @@
     progress.queue = job.queue.value();
     progress.state = getVisibleState(job);
     progress.ended_at_ms = job.endedWallMs;
+    progress.late_starts = makeLateStartRecords(state, job.id);
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& tasks = occurrence.steps[step].tasks;
--- /dev/null
+++ b/libs/scheduler/src/LateStarts.cpp
@@ -0,0 +1,62 @@
+#include "scheduler/LateStarts.h"
+
+#include <algorithm>
+
+namespace kingcuploom::scheduler {
+
+void recordLateStart(State& state, const Job& job, const TaskRef& task, const Run& run, MonotonicTime now)
+{
+    const auto& step = getStepSpec(job, task.step);
+    if (step.long_running || step.speculative || !run.hadUnansweredStart || !mayArriveAfter(state, run, now))
+        return;
+    state.lateStarts[task].push_back({ run.worker, computeLastArrival(state, run) });
+}
+
+std::optional<MonotonicTime> findLateStart(const State& state, const TaskRef& task, const WorkerId& worker, MonotonicTime now)
+{
+    const auto found = state.lateStarts.find(task);
+    if (found == state.lateStarts.end())
+        return std::nullopt;
+    std::optional<MonotonicTime> latest;
+    for (const auto& it : found->second) {
+        if (it.worker == worker && it.until >= now)
+            latest = std::max(latest, std::optional(it.until));
+    }
+    return latest;
+}
+
+void pruneLateStarts(State& state, MonotonicTime now)
+{
+    const auto isExpired = [now](const LateStart& it) { return it.until < now; };
+    for (auto& [task, starts] : state.lateStarts)
+        std::erase_if(starts, isExpired);
+    std::erase_if(state.lateStarts, [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::vector<std::unique_ptr<schema::LateStartT>> makeLateStartRecords(const State& state, const GraphJobId& job)
+{
+    std::vector<std::unique_ptr<schema::LateStartT>> records;
+    for (auto it = state.lateStarts.lower_bound({ job, 0, 0, 0 }); it != state.lateStarts.end() && it->first.job == job; ++it) {
+        for (const auto& start : it->second) {
+            auto record = std::make_unique<schema::LateStartT>();
+            record->occurrence = it->first.occurrence;
+            record->step = it->first.step;
+            record->index = it->first.index;
+            record->worker = start.worker.value();
+            records.push_back(std::move(record));
+        }
+    }
+    return records;
+}
+
+void restoreLateStarts(State& state, const schema::GraphJobProgressT& progress)
+{
+    // The run was over when the record was written, so that no start of it was sent in this term.
+    const auto until = state.termStartedAt + state.parameters.maxOrderDelay;
+    for (const auto& record : progress.late_starts) {
+        const TaskRef task { GraphJobId(progress.job), record->occurrence, record->step, record->index };
+        state.lateStarts[task].push_back({ WorkerId(record->worker), until });
+    }
+}
+
+} // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -108,12 +108,17 @@
 
 bool mayArriveLate(const Run& run) { return run.openStarts > 0 || run.hasUnknownStarts; }
 
-bool mayArriveAfter(const State& state, const Run& run, MonotonicTime time)
+MonotonicTime computeLastArrival(const State& state, const Run& run)
 {
     // An earlier leader may have gone on with starts for as long as it went on extending leases.
     const auto earlierTermEnd = state.termStartedAt + state.parameters.storeSilenceLimit;
     const auto lastStartAt = run.hasUnknownStarts ? std::max(run.lastStartAt, earlierTermEnd) : run.lastStartAt;
-    return mayArriveLate(run) && time <= lastStartAt + state.parameters.maxOrderDelay;
+    return lastStartAt + state.parameters.maxOrderDelay;
+}
+
+bool mayArriveAfter(const State& state, const Run& run, MonotonicTime time)
+{
+    return mayArriveLate(run) && time <= computeLastArrival(state, run);
 }
 
 std::size_t countRuns(const Job& job)
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/RunEnds.h"
 
+#include "scheduler/EndAcks.h"
 #include "scheduler/Health.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Runs.h"
@@ -121,21 +122,7 @@
 void onEnd(State& state, Worker& worker, const ListedEnd& end, MonotonicTime now, std::int64_t wallMs, Orders& orders)
 {
     processEnd(state, worker, end, now, wallMs, orders);
-    const auto* job = findJob(state, end.run.task.job);
-    worker.lastSeenEnd = end.number;
-    worker.uncommittedEnds.push_back({ end.number, end.run.task.job, job ? job->version : ProgressVersion() });
-}
-
-void advanceEndCursor(State& state, Worker& worker)
-{
-    while (!worker.uncommittedEnds.empty()) {
-        const auto& first = worker.uncommittedEnds.front();
-        const auto* job = findJob(state, first.job);
-        if (job && job->committed < first.requiredVersion)
-            return;
-        worker.lastCommittedEnd = first.number;
-        worker.uncommittedEnds.pop_front();
-    }
+    addUncommittedEnd(state, worker, end, now);
 }
 
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -2,6 +2,7 @@
 
 #include "JobRuns.h"
 #include "scheduler/Fleet.h"
+#include "scheduler/LateStarts.h"
 #include "scheduler/Reservations.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Suspects.h"
@@ -98,6 +99,7 @@
     const auto* run = findRun(state, ref);
     if (!job || !task || !run)
         return;
+    recordLateStart(state, *job, ref.task, *run, now);
     unreserve(state, ref, run->worker);
     std::erase_if(task->runs, [&](const Run& it) { return it.number == ref.run; });
     if (!hasEnded(*job) && !task->isDone)
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -1,7 +1,9 @@
 #include "scheduler/Scheduler.h"
 
 #include "scheduler/Advice.h"
+#include "scheduler/EndAcks.h"
 #include "scheduler/Health.h"
+#include "scheduler/LateStarts.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
 #include "scheduler/RunStarts.h"
@@ -44,6 +46,8 @@
     checkOwnLink(state, orders);
     updateStartWindow(state.startWindow, now);
     checkRuns(state, now, orders);
+    pruneLateStarts(state, now);
+    ageAckDelays(state.ackDelays, now);
     checkProgress(state, now, orders);
     checkWorkers(state, now, orders);
     checkSuspects(state, now, wallMs, orders);
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -92,7 +92,7 @@
 {
     if (worker.born == receivedBy)
         return true;
-    const bool isPreventable = !run || findRun(m_state, *run) || !m_ruledOutRuns.contains(*run);
+    const bool isPreventable = !run || findRun(m_state, *run) || !m_ruledOutRuns.contains(*run) || m_doneRuns.contains(*run);
     return m_restarts.keepsOrders && receivedBy != IncarnationTime() && isPreventable;
 }
 
@@ -128,6 +128,8 @@
     m_state.parameters.lease = Milliseconds(2000);
     m_state.parameters.maxLease = Milliseconds(2700);
     m_state.parameters.maxOrderDelay = maxOrderDelay;
+    // So many starts have no answer that the usual share would be used up.
+    m_state.parameters.maxDelayedAckPercent = 100;
     m_state.parameters.storeSilenceLimit = Milliseconds(m_rules.waitsForEarlierLeases ? 1000 : -10'000);
     m_state.term = m_storedTerm = Revision(++m_revision);
     m_state.termStartedAt = m_now;
@@ -548,6 +550,10 @@
     const auto* worker = findWorker(m_state, id);
     const auto runs = worker ? worker->runs : std::set<RunRef>();
     onPollReport(m_state, id, report, sentAt, m_now, wallMs(), m_orders);
+    for (const auto& end : report.ends) {
+        if (end.kind == EndKind::Done)
+            m_doneRuns.insert(end.run);
+    }
     std::ranges::copy_if(
         runs, std::inserter(m_ruledOutRuns, m_ruledOutRuns.end()), [&](const RunRef& ref) { return !findRun(m_state, ref); });
 }
--- a/libs/scheduler/tests/SchedulerWorld.h
+++ b/libs/scheduler/tests/SchedulerWorld.h
@@ -261,8 +261,10 @@
     std::map<std::string, CrashingTasks> m_crashing;
     Restarts m_restarts;
     // Runs that an incarnation of their worker has ruled out, by its answer to an order or by a report, so that the leader may release
-    // them. That a later incarnation carries out an order of such a run cannot be prevented.
+    // them. That a later incarnation carries out an order of such a run cannot be prevented. It is allowed for a run that a
+    // leader has seen end as done, as long as the end is not acknowledged.
     std::set<RunRef> m_ruledOutRuns;
+    std::set<RunRef> m_doneRuns;
     bool m_isInventoryAvailable = false;
     MonotonicTime m_inventoryAt;
     // Outcomes on the workers, used by the checks.
