--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -143,6 +143,8 @@
         if (!isFirstSeen)
             raiseFence(state, worker);
         resetIncarnation(worker, born);
+        // Until its first order under the new token, orders that were meant for the former incarnation are carried out.
+        worker.nextPollAt = now;
     }
 
     void processListedRun(State& state, Worker& worker, const ListedRun& listed, MonotonicTime now, Orders& orders)
--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -160,6 +160,22 @@
     CHECK(getFence(it.state, it.worker) == committed);
 }
 
+// TWICE (issue 50): an idle worker was polled up to five seconds after its restart had been seen, and carried orders for its former
+// incarnation out meanwhile.
+TEST_CASE("An idle worker is polled at once when its restart is seen", "[restart]")
+{
+    OpenStart it;
+    onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    releaseRun(it.state, it.ref, it.now);
+    onTermCommit(it.state, Revision(it.state.term.value() + 5));
+    it.worker.nextPollAt = it.now + Milliseconds(4000);
+    it.worker.isPollInFlight = false;
+    it.listNextIncarnation(it.now + Milliseconds(100));
+    it.orders.clear();
+    schedulePolls(it.state, it.now + Milliseconds(100), it.orders);
+    CHECK(std::ranges::any_of(it.orders, [](const Order& order) { return std::holds_alternative<PollOrder>(order); }));
+}
+
 // Guards against ends that are never acknowledged: the poll that carried the acknowledgement failed, the next one carries none, and the
 // worker is polled rarely from then on.
 TEST_CASE("An idle worker is polled again at once while an end of it is not acknowledged", "[restart]")
