--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -172,6 +172,7 @@
             run->percentChangedAt = now;
         const bool wereStartsAnswered = run->isListed && !mayArriveLate(*run);
         run->isListed = true;
+        run->wasListed = true;
         run->born = worker.born;
         // This incarnation has carried out by now what was sent to it, and refuses what was sent to former ones.
         if (!mayArriveAfter(state, *run, now)) {
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -89,6 +89,7 @@
             run.born = IncarnationTime(runRecord->born_ms);
             run.isCrashCounted = runRecord->crash_counted;
             run.phase = RunPhase::Unverified;
+            run.wasListed = runRecord->starts_answered;
             run.hasUnknownStarts = !runRecord->starts_answered;
             run.hadUnansweredStart = runRecord->start_unanswered;
             run.createdAt = now;
@@ -131,7 +132,8 @@
         record->worker = run.worker.value();
         record->born_ms = run.born.value();
         record->crash_counted = run.isCrashCounted;
-        record->starts_answered = run.isListed && !mayArriveLate(run);
+        // Also for a run that this leader has only read: the next one must not wait for starts of its predecessors' predecessor.
+        record->starts_answered = run.wasListed && !mayArriveLate(run);
         record->start_unanswered = run.hadUnansweredStart;
         if (const auto worker = state.workers.find(run.worker); worker != state.workers.end())
             record->address = worker->second.address.value();
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -129,3 +129,22 @@
     onStartResult(it.state, it.ref, StartResult::NoAnswer, it.now, it.orders);
     CHECK(std::ranges::count_if(it.orders, isRepeat) == 2);
 }
+
+// LOST (issue 50, review/8): a leader that had not reached the worker yet stored that starts of the run may have no answer. The leader
+// after it kept the run of a lost worker for 29 s, while its standing task was idle.
+TEST_CASE("A leader that has not reached the worker keeps what is stored of the starts of its runs", "[late]")
+{
+    const bool areAnswered = GENERATE(true, false);
+    RepeatedStart it;
+    const GraphJobId id("a");
+    auto* run = findRun(it.state, it.ref);
+    run->openStarts = 0;
+    auto record = makeProgressRecord(it.state, it.state.jobs.at(id));
+    auto& stored = *record.tasks.front()->runs.front();
+    REQUIRE(stored.starts_answered);
+    stored.starts_answered = areAnswered;
+    State next;
+    addJob(next, makeJobSpec("a", { .counts = { 1 } }), &record, {}, it.now, 0);
+    const auto again = makeProgressRecord(next, next.jobs.at(id));
+    CHECK(again.tasks.front()->runs.front()->starts_answered == areAnswered);
+}
