--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -102,7 +102,7 @@
 
     void restoreProgress(State& state, Job& job, const schema::GraphJobProgressT& progress, MonotonicTime now)
     {
-        job.state = progress.state;
+        job.state = progress.start_unconfirmed ? schema::JobState::Queued : progress.state;
         job.endedWallMs = progress.ended_at_ms;
         if (hasEnded(job)) {
             job.endedAt = now;
@@ -158,13 +158,12 @@
 
     bool hasStarted(const Job& job) { return job.state != schema::JobState::Queued; }
 
-    // Callers see the job as running from the commit of its first start. The state in memory changes only when a worker confirms a start.
-    schema::JobState getVisibleState(const Job& job)
+    // A start of the job is recorded, and no worker has confirmed one.
+    bool isStartUnconfirmed(const Job& job)
     {
-        const bool hasRecordedStart = std::ranges::any_of(job.occurrences, [](const auto& entry) {
+        return job.state == schema::JobState::Queued && std::ranges::any_of(job.occurrences, [](const auto& entry) {
             return std::ranges::any_of(entry.second.steps, [](const Step& step) { return std::ranges::any_of(step.tasks, hasProgress); });
         });
-        return job.state == schema::JobState::Queued && hasRecordedStart ? schema::JobState::Running : job.state;
     }
 
 } // namespace
@@ -293,7 +292,9 @@
     schema::GraphJobProgressT progress;
     progress.job = job.id.value();
     progress.queue = job.queue.value();
-    progress.state = getVisibleState(job);
+    // Callers see the job as running from the commit of its first start. The state in memory changes only when a worker confirms a start.
+    progress.start_unconfirmed = isStartUnconfirmed(job);
+    progress.state = progress.start_unconfirmed ? schema::JobState::Running : job.state;
     progress.ended_at_ms = job.endedWallMs;
     progress.late_starts = makeLateStartRecords(state, job.id);
     for (const auto& [number, occurrence] : job.occurrences) {
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -97,6 +97,8 @@
         if (!isOurs)
             return processLateEnd(state, worker, *job, *task, end, now, wallMs, orders);
         const Run run = *found;
+        if (job->state == schema::JobState::Queued)
+            job->state = schema::JobState::Running;
         if (!end.checkpoint.empty())
             task->checkpoint = end.checkpoint;
         releaseRun(state, end.run, now);
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -1,4 +1,5 @@
 #include "OpenStart.h"
+#include "scheduler/Jobs.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -148,3 +149,28 @@
     const auto again = makeProgressRecord(next, next.jobs.at(id));
     CHECK(again.tasks.front()->runs.front()->starts_answered == areAnswered);
 }
+
+// MIXED (issue 50, review/10): after a change of the leader, jobs whose recorded starts had never taken place did not count as pending.
+TEST_CASE("A new leader counts a job as pending until a worker has confirmed a start of it", "[late]")
+{
+    const bool isConfirmed = GENERATE(true, false);
+    OpenStart it;
+    const auto id = it.ref.task.job;
+    if (isConfirmed)
+        onStartResult(it.state, it.ref, StartResult::Started, it.now, it.orders);
+    const auto record = makeProgressRecord(it.state, it.state.jobs.at(id));
+    CHECK(record.state == schema::JobState::Running);
+    State next;
+    const auto* job = addJob(next, makeJobSpec("a", { .counts = { 1 } }), &record, {}, it.now, 0);
+    CHECK(pendingJobs(next, job->queue, it.now, 0) == (isConfirmed ? 0 : 1));
+}
+
+// As above: the job has begun, although the answer to its start was lost and no report has listed the run before its end.
+TEST_CASE("A job is not pending once a run of it has ended", "[late]")
+{
+    OpenStart it;
+    PollReport report { .born = it.worker.born, .clockMs = 3010 };
+    report.ends.push_back({ EndNumber(1), it.ref, EndKind::Failed, {} });
+    onPollReport(it.state, it.worker.id, report, it.now, it.now, 0, it.orders);
+    CHECK(pendingJobs(it.state, it.state.jobs.at(it.ref.task.job).queue, it.now, 0) == 0);
+}
