--- a/libs/node/include/node/OperatorView.h
+++ b/libs/node/include/node/OperatorView.h
@@ -17,8 +17,17 @@
     MonotonicTime confirmedAt;
 };
 
-// Finds the route for a request: same host, longest matching path prefix. Returns null if there is none.
-const QueueRoute* findRoute(const Configuration&, const std::string& host, const std::string& path);
+enum class RouteError {
+    // The latest configuration of the operators has no such route.
+    NoSuchRoute,
+    // There is no such route in the configuration that is known, if any, and a later one may be in force.
+    NotKnown,
+};
+
+// Finds the route for a request: same host, longest matching path prefix. "maxAge" is the time within which an acknowledged configuration
+// must be in force.
+Expected<const QueueRoute*, RouteError> findRoute(
+    const OperatorState&, const std::string& host, const std::string& path, MonotonicTime now, Milliseconds maxAge);
 
 // The queue name is the host followed by the path prefix.
 scheduler::QueueName makeQueueName(const QueueRoute&);
--- a/libs/node/src/OperatorView.cpp
+++ b/libs/node/src/OperatorView.cpp
@@ -35,14 +35,19 @@
     return "unknown_word";
 }
 
-const QueueRoute* findRoute(const Configuration& configuration, const std::string& host, const std::string& path)
+Expected<const QueueRoute*, RouteError> findRoute(
+    const OperatorState& state, const std::string& host, const std::string& path, MonotonicTime now, Milliseconds maxAge)
 {
+    if (!state.configuration)
+        return makeUnexpected(RouteError::NotKnown);
     const QueueRoute* best = nullptr;
-    for (const auto& route : configuration.routes) {
+    for (const auto& route : state.configuration->routes) {
         if (isMatch(route, host, path) && (!best || route.prefix.size() > best->prefix.size()))
             best = &route;
     }
-    return best;
+    if (best)
+        return best;
+    return makeUnexpected(now - state.confirmedAt <= maxAge ? RouteError::NoSuchRoute : RouteError::NotKnown);
 }
 
 scheduler::QueueName makeQueueName(const QueueRoute& route) { return scheduler::QueueName(route.host + route.prefix); }
--- a/libs/scheduler/tests/EndAckTests.cpp
+++ b/libs/scheduler/tests/EndAckTests.cpp
@@ -25,7 +25,7 @@
     RunRef begin(const std::string& job, JobOptions options)
     {
         options.counts = { 1 };
-        const RunRef run { { GraphJobId(job), 0, 0, 0 }, RunNumber(1) };
+        RunRef run { { GraphJobId(job), 0, 0, 0 }, RunNumber(1) };
         addJob(state, makeJobSpec(job, options), nullptr, {}, now, 0);
         placeWaitingTasks(state, now, orders);
         commit(run.task.job);
