--- a/libs/node/include/node/PrefixWatcher.h
+++ b/libs/node/include/node/PrefixWatcher.h
@@ -18,11 +18,19 @@
     std::function<void(StoreError)> onFailure;
 };
 
+enum class AfterFailure {
+    // Watch on from the last change that was read, which reads each change since then.
+    ContinueWatch,
+    // List the keys, which reads only the latest value of each.
+    List,
+};
+
 // Reports changes of all keys under a prefix: lists the keys, then watches, and lists again when the store has compacted its history.
 // Runs on the event loop's thread. Must be owned by a shared pointer.
 class PrefixWatcher : public std::enable_shared_from_this<PrefixWatcher> {
 public:
-    PrefixWatcher(boost::asio::io_context&, AsyncStore&, const Clock&, std::string prefix, Milliseconds watchTimeout, WatchCallbacks);
+    PrefixWatcher(boost::asio::io_context&, AsyncStore&, const Clock&, std::string prefix, Milliseconds watchTimeout, WatchCallbacks,
+        AfterFailure = AfterFailure::ContinueWatch);
 
     void start();
     // Makes no callback after this call.
@@ -47,6 +55,7 @@
     std::string m_prefix;
     Milliseconds m_watchTimeout;
     WatchCallbacks m_callbacks;
+    AfterFailure m_afterFailure;
     boost::asio::steady_timer m_timer;
     std::map<std::string, Revision> m_knownRevisions;
     // Keys seen so far by the current listing.
--- a/libs/node/src/OperatorView.cpp
+++ b/libs/node/src/OperatorView.cpp
@@ -65,7 +65,9 @@
         publishSnapshot();
     };
     callbacks.onFailure = [](StoreError error) { logEvent(LogLevel::Debug, "operator_watch_failed", { { "reason", toString(error) } }); };
-    m_watcher = std::make_shared<PrefixWatcher>(loop, store, clock, formats.operatorPrefix, watchTimeout, std::move(callbacks));
+    // Configurations are large and replace each other, so a node that has missed several of them needs the last one alone.
+    m_watcher = std::make_shared<PrefixWatcher>(
+        loop, store, clock, formats.operatorPrefix, watchTimeout, std::move(callbacks), AfterFailure::List);
 }
 
 void OperatorView::start() { m_watcher->start(); }
--- a/libs/node/src/PrefixWatcher.cpp
+++ b/libs/node/src/PrefixWatcher.cpp
@@ -33,12 +33,13 @@
 }
 
 PrefixWatcher::PrefixWatcher(boost::asio::io_context& loop, AsyncStore& store, const Clock& clock, std::string prefix,
-    Milliseconds watchTimeout, WatchCallbacks callbacks)
+    Milliseconds watchTimeout, WatchCallbacks callbacks, AfterFailure afterFailure)
     : m_store(store)
     , m_clock(clock)
     , m_prefix(std::move(prefix))
     , m_watchTimeout(watchTimeout)
     , m_callbacks(std::move(callbacks))
+    , m_afterFailure(afterFailure)
     , m_timer(loop)
 {
 }
@@ -172,6 +173,8 @@
         // Reading the first pages again would look like progress while a later one is never answered.
         if (self->m_isListing)
             self->list(self->m_listAfter);
+        else if (self->m_afterFailure == AfterFailure::List)
+            self->list({});
         else
             self->watch();
     });
--- a/libs/node/tests/OperatorViewTests.cpp
+++ b/libs/node/tests/OperatorViewTests.cpp
@@ -1,9 +1,12 @@
+#include "NodeTestSupport.h"
+#include "base/BootClock.h"
 #include "node/OperatorView.h"
 
 #include <catch2/catch.hpp>
 
 using namespace kingcuploom;
 using namespace kingcuploom::node;
+using namespace kingcuploom::node::test;
 
 namespace {
 
@@ -49,3 +52,23 @@
     REQUIRE_FALSE(found);
     CHECK(found.error() == RouteError::NotKnown);
 }
+
+// CONFIG (issue 50, review/9): a leader whose watch had failed read each configuration since then, one after the other, and was 8 s behind.
+TEST_CASE("The latest configuration is read after a failed watch without those before it")
+{
+    boost::asio::io_context loop { 1 };
+    FakeAsyncStore store(loop);
+    BootClock clock;
+    const auto formats = makeFormats();
+    store.put("op/config", "1");
+    std::vector<std::int64_t> versions;
+    OperatorView view(loop, store, clock, formats, [&] { versions.push_back(view.snapshot()->configuration->version); });
+    view.start();
+    REQUIRE(runUntil(loop, [&] { return versions.size() == 1; }));
+    store.refusedWatch = "op/";
+    for (const char* version : { "2", "3", "4" })
+        store.put("op/config", version);
+    CHECK(runUntil(loop, [&] { return versions.back() == 4; }));
+    CHECK(versions == std::vector<std::int64_t> { 1, 4 });
+    view.stop();
+}
