--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -437,7 +437,7 @@
     // Time from the sending of an order after which it has been carried out or is lost: 2 s until the worker has it, over a relay and a
     // connection that is still to be opened, and 12 s for which a worker may leave it (docs/platform.md).
     Milliseconds maxOrderDelay { 14'000 };
-    // An end that is acknowledged later than this after it was listed counts as delayed. Half of the time that operators allow (ack_ms).
+    // An end that is acknowledged later than this after it was listed counts as delayed.
     Milliseconds ackDelayLimit { 2000 };
     // Share of the ends whose acknowledgement may be delayed for starts that may be carried out late. Operators allow a fifth.
     unsigned maxDelayedAckPercent = 10;
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -132,7 +132,7 @@
         record->worker = run.worker.value();
         record->born_ms = run.born.value();
         record->crash_counted = run.isCrashCounted;
-        // Also for a run that this leader has only read: the next one must not wait for starts of its predecessors' predecessor.
+        // Also if it was an earlier leader that saw the answers, or the next one would wait for starts that nobody has sent.
         record->starts_answered = run.wasListed && !mayArriveLate(run);
         record->start_unanswered = run.hadUnansweredStart;
         if (const auto worker = state.workers.find(run.worker); worker != state.workers.end())
