--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -157,11 +157,12 @@
             return;
         }
         const bool isNew = run->phase != RunPhase::Running && run->phase != RunPhase::Stopping;
+        const bool isTakenOver = run->phase == RunPhase::Unverified;
         if (isNew) {
             run->startConfirmedAt = now;
             run->percentChangedAt = now;
             // An earlier leader may have changed the pace.
-            if (run->phase == RunPhase::Unverified)
+            if (isTakenOver)
                 run->confirmedPace = unknownPace;
             run->phase = RunPhase::Running;
             worker.health.unacceptedStarts = 0;
@@ -180,6 +181,8 @@
             run->hasUnknownStarts = false;
             run->hadUnansweredStart = false;
         }
+        if (isTakenOver)
+            reportOpenStarts(listed.run, *run, "taken_over", now, orders);
         // A task that lasts has no other change that would be stored, and must not be idle for long after the loss of its worker and of the
         // leader.
         if (!wereStartsAnswered && !mayArriveLate(*run) && getStepSpec(*job, listed.run.task.step).long_running)
--- a/libs/scheduler/src/Inventory.cpp
+++ b/libs/scheduler/src/Inventory.cpp
@@ -72,6 +72,9 @@
     // arrives.
     void holdRun(State& state, const RunRef& ref, const WorkerLoss& loss, MonotonicTime now, Orders& orders)
     {
+        const auto& run = *findRun(state, ref);
+        if (run.stopReason == StopReason::None)
+            reportOpenStarts(ref, run, run.hasUnknownStarts ? "held_not_known" : "held", now, orders);
         countCrash(state, ref, loss, now);
         stopRun(state, ref, StopReason::UncertainStart, now, orders);
     }
