--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -127,6 +127,8 @@
     bool hasUnknownStarts = false;
     // A start order of the run has had no answer, in this term or an earlier one.
     bool hadUnansweredStart = false;
+    // All leaders of the run have stored hadUnansweredStart before they repeated a start. False for a run of an earlier version.
+    bool areStartsTracked = true;
     bool isOrderInFlight = false;
     int percent = 0;
     MonotonicTime percentChangedAt;
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -175,8 +175,10 @@
         run->isListed = true;
         run->wasListed = true;
         run->born = worker.born;
+        // The earlier leader has sent one start, which has been carried out.
+        const bool wasStartedOnce = run->hasUnknownStarts && run->areStartsTracked && !run->hadUnansweredStart;
         // This incarnation has carried out by now what was sent to it, and refuses what was sent to former ones.
-        if (!mayArriveAfter(state, *run, now)) {
+        if (wasStartedOnce || !mayArriveAfter(state, *run, now)) {
             run->openStarts = 0;
             run->hasUnknownStarts = false;
             run->hadUnansweredStart = false;
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -92,6 +92,7 @@
             run.wasListed = runRecord->starts_answered;
             run.hasUnknownStarts = !runRecord->starts_answered;
             run.hadUnansweredStart = runRecord->start_unanswered;
+            run.areStartsTracked = runRecord->tracks_starts;
             run.createdAt = now;
             run.percentChangedAt = now;
             task->runs.push_back(run);
@@ -135,6 +136,7 @@
         // Also if it was an earlier leader that saw the answers, or the next one would wait for starts that nobody has sent.
         record->starts_answered = run.wasListed && !mayArriveLate(run);
         record->start_unanswered = run.hadUnansweredStart;
+        record->tracks_starts = run.areStartsTracked;
         if (const auto worker = state.workers.find(run.worker); worker != state.workers.end())
             record->address = worker->second.address.value();
         return record;
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -63,6 +63,39 @@
     Orders orders;
 };
 
+// The leader after the one that has sent the start. The worker is in its list and has not answered yet.
+struct NextLeader {
+    NextLeader(const OpenStart& earlier, const schema::GraphJobProgressT& record)
+        : ref(earlier.ref)
+        , id(earlier.worker.id)
+        , born(earlier.worker.born)
+        , now(earlier.now)
+    {
+        state.term = Revision(1'000'000);
+        state.termStartedAt = now;
+        onWorkerListed(state, { .id = id, .born = born, .address = earlier.worker.address }, now, orders);
+        addJob(state, makeJobSpec("a", { .counts = { 1 }, .estimateMs = 60'000 }), &record, {}, now, 0);
+    }
+
+    // The worker answers the first poll of the term.
+    void listRun()
+    {
+        schedulePolls(state, now, orders);
+        PollReport report { .born = born, .clockMs = 3010 };
+        report.running.push_back({ ref, {}, 10, 0 });
+        onPollReport(state, id, report, now, now, 0, orders);
+    }
+
+    schema::RunRecordT recordedRun() const { return *makeProgressRecord(state, state.jobs.at(ref.task.job)).tasks.front()->runs.front(); }
+
+    RunRef ref;
+    WorkerId id;
+    IncarnationTime born;
+    MonotonicTime now;
+    State state;
+    Orders orders;
+};
+
 } // namespace
 
 // TWICE: a repeated start that was refused for want of room released its run at once. The first start, which had no answer, was carried out
@@ -150,6 +183,27 @@
     CHECK(again.tasks.front()->runs.front()->starts_answered == areAnswered);
 }
 
+// LOST: a leader that listed a run of its predecessor took its starts for unanswered for 19 s, and stored that. The leader after it kept
+// the run of a lost worker for 29 s, while its standing task was idle.
+TEST_CASE("A run that a worker lists has no open starts unless the earlier leader may have sent several", "[late]")
+{
+    const bool wasUnanswered = GENERATE(false, true);
+    const bool isTracked = GENERATE(true, false);
+    INFO("a start had no answer " << wasUnanswered << ", the version of the record tells " << isTracked);
+    OpenStart it;
+    auto record = makeProgressRecord(it.state, it.state.jobs.at(it.ref.task.job));
+    auto& stored = *record.tasks.front()->runs.front();
+    REQUIRE(stored.tracks_starts);
+    stored.start_unanswered = wasUnanswered;
+    stored.tracks_starts = isTracked;
+    NextLeader next(it, record);
+    CHECK_FALSE(next.recordedRun().starts_answered);
+    CHECK(next.recordedRun().tracks_starts == isTracked);
+    next.listRun();
+    CHECK(next.recordedRun().starts_answered == (isTracked && !wasUnanswered));
+    CHECK(next.recordedRun().tracks_starts == isTracked);
+}
+
 // MIXED (issue 50, review/10): after a change of the leader, jobs whose recorded starts had never taken place did not count as pending.
 TEST_CASE("A new leader counts a job as pending until a worker has confirmed a start of it", "[late]")
 {
