--- a/libs/scheduler/src/Inventory.cpp
+++ b/libs/scheduler/src/Inventory.cpp
@@ -49,10 +49,11 @@
 
     VmFinding assessVm(const InventoryEntry* entry, const Worker& worker)
     {
-        // A VM that crashed is listed as down until it is back. One that is not listed has been taken away for good, or has crashed before
-        // it was.
+        // A VM that crashed is listed as down until it is back. One that was listed and is not any more has been taken away for good.
+        if (!entry && !worker.vm.empty())
+            return { "vm_removed", LossKind::Unexplained };
         if (!entry)
-            return { worker.vm.empty() ? "vm_not_known" : "vm_removed", LossKind::Unexplained, true };
+            return { "vm_not_known", LossKind::Unexplained, true };
         switch (entry->state) {
         case VmState::Up:
             return { "vm_runs_another_worker", LossKind::Crashed };
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -57,10 +57,12 @@
     }
 
     // A worker can execute its runs and answer although its entry has lapsed. With its address, polls and stops reach it also under a
-    // leader that has never seen the entry.
+    // leader that has never seen the entry. With its VM, the inventory tells whether it can return.
     void restoreWorker(State& state, const schema::RunRecordT& record, MonotonicTime now)
     {
         auto& worker = state.workers.at(WorkerId(record.worker));
+        if (worker.vm.empty())
+            worker.vm = VmId(record.vm);
         const IncarnationTime born(record.born_ms);
         if (worker.isListed || record.address.empty() || born <= worker.born)
             return;
@@ -137,8 +139,10 @@
         record->starts_answered = run.wasListed && !mayArriveLate(run);
         record->start_unanswered = run.hadUnansweredStart;
         record->tracks_starts = run.areStartsTracked;
-        if (const auto worker = state.workers.find(run.worker); worker != state.workers.end())
+        if (const auto worker = state.workers.find(run.worker); worker != state.workers.end()) {
             record->address = worker->second.address.value();
+            record->vm = worker->second.vm.value();
+        }
         return record;
     }
 
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -77,6 +77,15 @@
         addJob(state, makeJobSpec("a", { .counts = { 1 }, .estimateMs = 60'000 }), &record, {}, now, 0);
     }
 
+    // The worker does not answer, and two inventories show its VM so.
+    void readInventories(const Inventory& inventory)
+    {
+        for (const auto& after : { Milliseconds(600), Milliseconds(900) }) {
+            onPollFailure(state, id, PollFailure::NoAnswer, now + after);
+            onInventory(state, inventory, now + after, now + after, orders);
+        }
+    }
+
     // The worker answers the first poll of the term.
     void listRun()
     {
@@ -204,6 +213,32 @@
     CHECK(next.recordedRun().tracks_starts == isTracked);
 }
 
+// LOST (issue 52, review/8): a new leader did not know the VM of a lost worker, and kept its runs for 29 s although the worker could not
+// return.
+TEST_CASE("A new leader releases the runs of a worker whose VM has been removed or runs another worker", "[late]")
+{
+    struct Case {
+        Inventory inventory;
+        bool isReleased;
+    };
+    const std::vector<Case> cases {
+        { {}, true },
+        { { { VmId("vm"), WorkerId("other"), VmState::Up } }, true },
+        // TWICE: the worker may be back under its id, and carry out the start, before it is seen.
+        { { { VmId("vm"), WorkerId(), VmState::Down } }, false },
+        { { { VmId("vm"), WorkerId(), VmState::Unknown } }, false },
+    };
+    const auto number = GENERATE(range(std::size_t { 0 }, std::size_t { 4 }));
+    const auto& [inventory, isReleased] = cases.at(number);
+    const bool isVmKnown = GENERATE(true, false);
+    INFO("case " << number << ", the record names the VM " << isVmKnown);
+    OpenStart it;
+    it.worker.vm = isVmKnown ? VmId("vm") : VmId();
+    NextLeader next(it, makeProgressRecord(it.state, it.state.jobs.at(it.ref.task.job)));
+    next.readInventories(inventory);
+    CHECK((findRun(next.state, next.ref) == nullptr) == (isReleased && isVmKnown));
+}
+
 // MIXED (issue 50, review/10): after a change of the leader, jobs whose recorded starts had never taken place did not count as pending.
 TEST_CASE("A new leader counts a job as pending until a worker has confirmed a start of it", "[late]")
 {
