--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -113,8 +113,8 @@
     std::optional<MonotonicTime> startsExpireAt;
     // The worker has reported the run in its current incarnation.
     bool isListed = false;
-    // The worker has reported the run in some incarnation, in this term or an earlier one.
-    bool wasListed = false;
+    // The worker has answered a start of the run or listed it in some incarnation, in this term or an earlier one.
+    bool wasConfirmed = false;
     // The crash of the incarnation for which the run was started is in the task's crash history already.
     bool isCrashCounted = false;
     unsigned startRetries = 0;
--- a/libs/scheduler/include/scheduler/Runs.h
+++ b/libs/scheduler/include/scheduler/Runs.h
@@ -17,6 +17,9 @@
 // Reports that starts of the run have no answer, so that an incarnation of the worker may still carry them out.
 void reportOpenStarts(const RunRef&, const Run&, const char* reason, MonotonicTime now, Orders&);
 
+// Lets the next leader know soon that all starts of a run of the task were answered, if its record is not about to change anyway.
+void storeAnsweredStarts(State&, Job&, const TaskRef&, MonotonicTime now);
+
 // Resends unanswered orders, and releases runs whose lease has certainly expired.
 void checkRuns(State&, MonotonicTime now, Orders&);
 
--- a/libs/scheduler/src/Fleet.cpp
+++ b/libs/scheduler/src/Fleet.cpp
@@ -171,9 +171,10 @@
         }
         if (!run->isListed || run->percent != listed.percent)
             run->percentChangedAt = now;
-        const bool wereStartsAnswered = run->isListed && !mayArriveLate(*run);
+        const bool wereStartsAnswered = run->wasConfirmed && !mayArriveLate(*run);
+        const bool isBornKnown = run->born == worker.born;
         run->isListed = true;
-        run->wasListed = true;
+        run->wasConfirmed = true;
         run->born = worker.born;
         // The earlier leader has sent one start, which has been carried out.
         const bool wasStartedOnce = run->hasUnknownStarts && run->areStartsTracked && !run->hadUnansweredStart;
@@ -185,10 +186,8 @@
         }
         if (isTakenOver)
             reportOpenStarts(listed.run, *run, "taken_over", now, orders);
-        // A task that lasts has no other change that would be stored, and must not be idle for long after the loss of its worker and of the
-        // leader.
-        if (!wereStartsAnswered && !mayArriveLate(*run) && getStepSpec(*job, listed.run.task.step).long_running)
-            markDirty(state, *job, now, false);
+        if (!(wereStartsAnswered && isBornKnown) && !mayArriveLate(*run))
+            storeAnsweredStarts(state, *job, listed.run.task, now);
         run->percent = listed.percent;
         run->figure = listed.figure;
         run->checkpoint = listed.checkpoint;
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -91,7 +91,7 @@
             run.born = IncarnationTime(runRecord->born_ms);
             run.isCrashCounted = runRecord->crash_counted;
             run.phase = RunPhase::Unverified;
-            run.wasListed = runRecord->starts_answered;
+            run.wasConfirmed = runRecord->starts_answered;
             run.hasUnknownStarts = !runRecord->starts_answered;
             run.hadUnansweredStart = runRecord->start_unanswered;
             run.areStartsTracked = runRecord->tracks_starts;
@@ -136,7 +136,7 @@
         record->born_ms = run.born.value();
         record->crash_counted = run.isCrashCounted;
         // Also if it was an earlier leader that saw the answers, or the next one would wait for starts that nobody has sent.
-        record->starts_answered = run.wasListed && !mayArriveLate(run);
+        record->starts_answered = run.wasConfirmed && !mayArriveLate(run);
         record->start_unanswered = run.hadUnansweredStart;
         record->tracks_starts = run.areStartsTracked;
         if (const auto worker = state.workers.find(run.worker); worker != state.workers.end()) {
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -157,6 +157,14 @@
         run.recordedInVersion = job.version;
     }
 
+    void recordConfirmedStart(State& state, const RunRef& ref, Run& run, MonotonicTime now)
+    {
+        run.startConfirmedAt = now;
+        const bool isNew = !std::exchange(run.wasConfirmed, true);
+        if (isNew && !mayArriveLate(run))
+            storeAnsweredStarts(state, *findJob(state, ref.task.job), ref.task, now);
+    }
+
     bool isWithheld(StartResult result)
     {
         return result == StartResult::NotSent || result == StartResult::StaleView || result == StartResult::WorkerLeaving
@@ -251,11 +259,11 @@
         recordUnansweredStart(state, ref, *run, now);
     else if (run->openStarts > 0)
         --run->openStarts;
+    if (result == StartResult::Started)
+        recordConfirmedStart(state, ref, *run, now);
     auto* worker = findWorker(state, run->worker);
     if (run->phase != RunPhase::Starting) {
         // A stop was ordered in the meantime; its result decides the state of the run.
-        if (result == StartResult::Started)
-            run->startConfirmedAt = now;
         return;
     }
     if (auto* task = findTask(state, ref.task))
@@ -265,7 +273,6 @@
     switch (result) {
     case StartResult::Started: {
         run->phase = RunPhase::Running;
-        run->startConfirmedAt = now;
         run->percentChangedAt = now;
         if (worker) {
             worker->health.unacceptedStarts = 0;
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -92,6 +92,14 @@
     orders.emplace_back(Decision { "run_starts_open", toString(ref), run.worker, reason, age, run.openStarts });
 }
 
+void storeAnsweredStarts(State& state, Job& job, const TaskRef& task, MonotonicTime now)
+{
+    // A task that lasts has no other change that would be stored, and must not be idle for long after the loss of its worker and of the
+    // leader.
+    if (getStepSpec(job, task.step).long_running)
+        markDirty(state, job, now, false);
+}
+
 void releaseRun(State& state, const RunRef& ref, MonotonicTime now)
 {
     auto* job = findJob(state, ref.task.job);
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -213,6 +213,24 @@
     CHECK(next.recordedRun().tracks_starts == isTracked);
 }
 
+// LOST (issue 52, review/8): the answer to a start was stored only once the worker had listed the run, up to a second later. If worker and
+// leader were lost before, the next leader kept the run for 29 s while its standing task was idle.
+TEST_CASE("The answer to the start of a standing task is stored before its worker lists the run", "[late]")
+{
+    const auto result = GENERATE(StartResult::Started, StartResult::NoAnswer);
+    const bool isLongRunning = GENERATE(true, false);
+    INFO("result " << toString(result) << ", standing task " << isLongRunning);
+    OpenStart it({ .counts = { 1 }, .estimateMs = 60'000, .isLongRunning = isLongRunning });
+    const auto& job = it.state.jobs.at(it.ref.task.job);
+    const auto version = job.version;
+    onStartResult(it.state, it.ref, result, it.now, it.orders);
+    const auto isAnswered = result == StartResult::Started;
+    CHECK(makeProgressRecord(it.state, job).tasks.front()->runs.front()->starts_answered == isAnswered);
+    // The record of any other task is stored with its end, so that it takes no further write.
+    if (isAnswered)
+        CHECK((job.version != version) == isLongRunning);
+}
+
 // LOST (issue 52, review/8): a new leader did not know the VM of a lost worker, and kept its runs for 29 s although the worker could not
 // return.
 TEST_CASE("A new leader releases the runs of a worker whose VM has been removed or runs another worker", "[late]")
--- a/libs/scheduler/tests/OpenStart.h
+++ b/libs/scheduler/tests/OpenStart.h
@@ -13,13 +13,13 @@
 
 // A worker with a run whose start was sent, and not answered so far.
 struct OpenStart {
-    OpenStart()
+    explicit OpenStart(const JobOptions& options = { .counts = { 1 }, .estimateMs = 60'000 })
     {
         world.run(Milliseconds(200));
         // Long after the first answer of the term, until which an earlier leader may have extended the lease.
         now = worker.lastAnswerAt + state.parameters.maxLease;
         onPollReport(state, worker.id, { .born = worker.born, .clockMs = 3000 }, now, now, 0, orders);
-        addJob(state, makeJobSpec("a", { .counts = { 1 }, .estimateMs = 60'000 }), nullptr, {}, now, 0);
+        addJob(state, makeJobSpec("a", options), nullptr, {}, now, 0);
         placeWaitingTasks(state, now, orders);
         onCommitted(state, ref.task.job, state.jobs.at(ref.task.job).version, Revision(1));
         sendRecordedStarts(state, now, orders);
