--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -51,6 +51,7 @@
         if (entries + needed > AsyncStore::maxTransactionEntries)
             continue;
         entries += needed;
+        scheduler::dropDoneOccurrences(job);
         transaction.conditions.push_back({ runKey(job.id), job.recordRevision });
         transaction.writes.push_back({ runKey(job.id), encodeProgress(scheduler::makeProgressRecord(m_state, job)), {} });
         if (isFinished(job)) {
--- a/libs/node/src/Records.cpp
+++ b/libs/node/src/Records.cpp
@@ -36,9 +36,16 @@
         return task.occurrence < maxJobOccurrences && std::ranges::all_of(task.runs, isPresent<schema::RunRecordT>);
     }
 
+    bool areUsable(const std::vector<schema::OccurrenceRange>& ranges)
+    {
+        const auto isMisplaced = [](const auto& it, const auto& next) { return next.begin() < it.end(); };
+        return std::ranges::all_of(ranges, [](const auto& it) { return it.begin() < it.end() && it.end() <= maxJobOccurrences; })
+            && std::ranges::adjacent_find(ranges, isMisplaced) == ranges.end();
+    }
+
     bool isUsable(const schema::GraphJobProgressT& progress)
     {
-        return progress.state <= schema::JobState::MAX
+        return progress.state <= schema::JobState::MAX && areUsable(progress.done_occurrences)
             && std::ranges::all_of(progress.tasks, [](const auto& task) { return task && isUsable(*task); });
     }
 
--- a/libs/node/tests/RecordTests.cpp
+++ b/libs/node/tests/RecordTests.cpp
@@ -20,6 +20,7 @@
     spec.queue = "host/q/";
     spec.payload = "work";
     spec.accepted_at_ms = wallMs;
+    spec.repeat_count = 9;
     spec.policy = std::make_unique<schema::QueuePolicyT>();
     spec.policy->service = "service";
     for (std::uint32_t i = 0; i < 2; ++i) {
@@ -48,6 +49,7 @@
         task->runs.back()->worker = "w";
         progress.tasks.push_back(std::move(task));
     }
+    progress.done_occurrences = { schema::OccurrenceRange(1, 2), schema::OccurrenceRange(4, 6) };
     return progress;
 }
 
--- a/libs/scheduler/include/scheduler/Jobs.h
+++ b/libs/scheduler/include/scheduler/Jobs.h
@@ -11,6 +11,10 @@
 // Adds an ended job from its stored record.
 void addEndedJob(State&, const schema::GraphJobProgressT&, Revision recordRevision, MonotonicTime now);
 
+// Drops done occurrences, the earliest first, while the job has more than 4,096 tasks in done occurrences without runs, so that neither the
+// job's record nor its memory grows with each occurrence.
+void dropDoneOccurrences(Job&);
+
 // Opens the occurrences of a periodic job that are due. Returns true if any was opened.
 bool openDueOccurrences(State&, Job&, MonotonicTime now, std::int64_t wallMs);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -192,6 +192,12 @@
     std::size_t doneSteps = 0;
 };
 
+// Occurrences from begin to end, exclusive.
+struct OccurrenceRange {
+    std::uint32_t begin = 0;
+    std::uint32_t end = 0;
+};
+
 struct Job {
     GraphJobId id;
     QueueName queue;
@@ -207,6 +213,8 @@
     std::optional<MonotonicTime> roomMissingSince;
     schema::JobState state = schema::JobState::Queued;
     std::map<std::uint32_t, Occurrence> occurrences;
+    // Occurrences that are done and are not kept in occurrences any more: disjoint and in ascending order.
+    std::vector<OccurrenceRange> droppedOccurrences;
     // Occurrences 0 to this number, exclusive, have been opened.
     std::uint32_t openedOccurrences = 0;
     std::uint32_t doneOccurrences = 0;
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -15,6 +15,9 @@
     // Bound on the tasks of the occurrences of a job that are open at the same time. Further occurrences that are due wait for them.
     constexpr std::size_t maxOpenTasks = 4096;
 
+    // Bound on the tasks of done occurrences that a job keeps.
+    constexpr std::size_t maxKeptDoneTasks = 4096;
+
     Occurrence makeOccurrence(const schema::GraphJobSpecT& spec)
     {
         Occurrence occurrence;
@@ -42,15 +45,72 @@
 
     std::uint32_t getOccurrenceCount(const schema::GraphJobSpecT& spec) { return std::max(spec.repeat_count, 1U); }
 
-    std::uint32_t countOpenable(const Job& job)
+    std::size_t countTasksPerOccurrence(const schema::GraphJobSpecT& spec)
     {
         const auto addCount = [](std::size_t sum, const auto& step) { return sum + step->count; };
-        const auto tasks = std::accumulate(job.spec->steps.begin(), job.spec->steps.end(), std::size_t { 0 }, addCount);
+        return std::accumulate(spec.steps.begin(), spec.steps.end(), std::size_t { 0 }, addCount);
+    }
+
+    std::uint32_t countOpenable(const Job& job)
+    {
+        const auto tasks = countTasksPerOccurrence(*job.spec);
         const auto most = std::max<std::size_t>(maxOpenTasks / std::max<std::size_t>(tasks, 1), 1);
         const auto open = job.openedOccurrences - job.doneOccurrences;
         return static_cast<std::uint32_t>(most - std::min<std::size_t>(most, open));
     }
 
+    bool hasRuns(const Occurrence& occurrence)
+    {
+        return std::ranges::any_of(occurrence.steps,
+            [](const Step& step) { return std::ranges::any_of(step.tasks, [](const Task& task) { return !task.runs.empty(); }); });
+    }
+
+    bool isDroppable(const Occurrence& occurrence) { return isOccurrenceDone(occurrence) && !hasRuns(occurrence); }
+
+    bool isDropped(const Job& job, std::uint32_t occurrence)
+    {
+        return std::ranges::any_of(
+            job.droppedOccurrences, [&](const OccurrenceRange& it) { return it.begin <= occurrence && occurrence < it.end; });
+    }
+
+    void addDropped(std::vector<OccurrenceRange>& ranges, std::uint32_t occurrence)
+    {
+        const auto next = std::ranges::lower_bound(ranges, occurrence, {}, &OccurrenceRange::begin);
+        const bool joinsNext = next != ranges.end() && next->begin == occurrence + 1;
+        const bool joinsPrevious = next != ranges.begin() && std::prev(next)->end == occurrence;
+        if (joinsPrevious && joinsNext) {
+            std::prev(next)->end = next->end;
+            ranges.erase(next);
+        } else if (joinsPrevious) {
+            std::prev(next)->end = occurrence + 1;
+        } else if (joinsNext) {
+            next->begin = occurrence;
+        } else {
+            ranges.insert(next, { occurrence, occurrence + 1 });
+        }
+    }
+
+    // Opens the occurrences up to "end", exclusive, that have not been dropped.
+    void openOccurrences(Job& job, std::uint32_t end)
+    {
+        for (; job.openedOccurrences < end; ++job.openedOccurrences) {
+            if (!isDropped(job, job.openedOccurrences))
+                job.occurrences.emplace(job.openedOccurrences, makeOccurrence(*job.spec));
+        }
+    }
+
+    void restoreDroppedOccurrences(Job& job, const schema::GraphJobProgressT& progress)
+    {
+        for (const auto& range : progress.done_occurrences) {
+            if (range.end() > getOccurrenceCount(*job.spec))
+                continue;
+            job.droppedOccurrences.push_back({ range.begin(), range.end() });
+            job.doneOccurrences += range.end() - range.begin();
+        }
+        if (!job.droppedOccurrences.empty())
+            openOccurrences(job, job.droppedOccurrences.back().end);
+    }
+
     std::int64_t getDueWallMs(const schema::GraphJobSpecT& spec, std::uint32_t occurrence)
     {
         return spec.repeat_count == 0 ? 0 : spec.start_at_ms + static_cast<std::int64_t>(occurrence) * spec.period_ms;
@@ -111,11 +171,11 @@
             job.endedAt = now;
             state.ended.insert(job.id);
         }
+        restoreDroppedOccurrences(job, progress);
         for (const auto& record : progress.tasks) {
             if (record->occurrence >= getOccurrenceCount(*job.spec))
                 continue;
-            while (job.openedOccurrences <= record->occurrence)
-                job.occurrences.emplace(job.openedOccurrences++, makeOccurrence(*job.spec));
+            openOccurrences(job, record->occurrence + 1);
             restoreTask(state, job, *record, now);
         }
         for (auto& [number, occurrence] : job.occurrences) {
@@ -232,6 +292,26 @@
     restoreLateStarts(state, progress);
 }
 
+void dropDoneOccurrences(Job& job)
+{
+    if (!job.spec || job.occurrences.size() < 2)
+        return;
+    const auto tasks = countTasksPerOccurrence(*job.spec);
+    if (job.occurrences.size() * tasks <= maxKeptDoneTasks)
+        return;
+    const auto done = std::ranges::count_if(job.occurrences, [](const auto& entry) { return isDroppable(entry.second); });
+    auto kept = static_cast<std::size_t>(done) * tasks;
+    for (auto it = job.occurrences.begin(); it != job.occurrences.end() && kept > maxKeptDoneTasks;) {
+        if (!isDroppable(it->second)) {
+            ++it;
+            continue;
+        }
+        addDropped(job.droppedOccurrences, it->first);
+        it = job.occurrences.erase(it);
+        kept -= tasks;
+    }
+}
+
 bool openDueOccurrences(State& state, Job& job, MonotonicTime now, std::int64_t wallMs)
 {
     if (hasEnded(job))
@@ -303,6 +383,8 @@
     progress.state = progress.start_unconfirmed ? schema::JobState::Running : job.state;
     progress.ended_at_ms = job.endedWallMs;
     progress.late_starts = makeLateStartRecords(state, job.id);
+    std::ranges::transform(job.droppedOccurrences, std::back_inserter(progress.done_occurrences),
+        [](const OccurrenceRange& it) { return schema::OccurrenceRange(it.begin, it.end); });
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
             const auto& tasks = occurrence.steps[step].tasks;
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -93,7 +93,7 @@
         const auto* found = findRun(state, end.run);
         const bool isOurs = found && found->worker == worker.id;
         if (!job || !task)
-            return reportRepeatedEnd(worker, end, "job_over", orders);
+            return reportRepeatedEnd(worker, end, job && !hasEnded(*job) ? "task_done" : "job_over", orders);
         if (!isOurs)
             return processLateEnd(state, worker, *job, *task, end, now, wallMs, orders);
         const Run run = *found;
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -165,3 +165,70 @@
     onPollReport(state, worker.id, report, now, now, 0, orders);
     CHECK(state.jobs.at(GraphJobId("a")).state == schema::JobState::Failed);
 }
+
+// LOST (issue 10, review/6): the record of a recurring job named each task of each occurrence, outgrew what the store takes, and the job
+// stood still for good.
+TEST_CASE("The record of a recurring job does not grow with each occurrence that is done", "[record]")
+{
+    constexpr std::uint32_t tasks = 1000;
+    constexpr std::uint32_t occurrences = 40;
+    constexpr std::int64_t wallMs = 1'000'000'000;
+    const MonotonicTime now { std::chrono::hours(1) };
+    auto spec = makeJobSpec("a", { .counts = { tasks } });
+    spec->repeat_count = occurrences;
+    spec->start_at_ms = 1;
+    spec->period_ms = 1;
+    State state;
+    auto* job = addJob(state, spec, nullptr, {}, now, wallMs);
+    const auto finishOccurrence = [&](std::uint32_t occurrence) {
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            const TaskRef ref { job->id, occurrence, 0, index };
+            findTask(state, ref)->lastRun = RunNumber(1);
+            finishTask(state, *job, ref, now, wallMs);
+        }
+        openDueOccurrences(state, *job, now, wallMs);
+        dropDoneOccurrences(*job);
+    };
+    // The second one is the last to end, so that the dropped ones are not the first ones only.
+    for (std::uint32_t i = 0; i < occurrences - 2; ++i)
+        finishOccurrence(i == 0 ? 0 : i + 1);
+    const auto record = makeProgressRecord(state, *job);
+    CHECK(record.tasks.size() <= 4096);
+    CHECK(record.done_occurrences.size() == 2);
+    CHECK(job->occurrences.size() <= 8);
+
+    // The next leader neither starts the done tasks again nor takes them for missing.
+    state = State();
+    job = addJob(state, spec, &record, {}, now, wallMs);
+    CHECK(job->openedOccurrences == occurrences);
+    CHECK(job->doneOccurrences == occurrences - 2);
+    const auto again = makeProgressRecord(state, *job);
+    CHECK((again.done_occurrences == record.done_occurrences));
+    CHECK(again.tasks.size() == record.tasks.size());
+    finishOccurrence(1);
+    CHECK_FALSE(hasEnded(*job));
+    finishOccurrence(occurrences - 1);
+    CHECK(job->state == schema::JobState::Completed);
+}
+
+// TWICE: guards against an occurrence that is dropped with a run, whose end would then not be known.
+TEST_CASE("An occurrence is kept while a run of it may exist", "[record]")
+{
+    constexpr std::uint32_t tasks = 3000;
+    const MonotonicTime now { std::chrono::hours(1) };
+    auto spec = makeJobSpec("a", { .counts = { tasks } });
+    spec->repeat_count = 5;
+    spec->start_at_ms = 1;
+    spec->period_ms = 1;
+    State state;
+    auto* job = addJob(state, spec, nullptr, {}, now, 1'000'000);
+    for (std::uint32_t occurrence = 0; occurrence < 4; ++occurrence) {
+        for (std::uint32_t index = 0; index < tasks; ++index)
+            finishTask(state, *job, { job->id, occurrence, 0, index }, now, 1'000'000);
+        openDueOccurrences(state, *job, now, 1'000'000);
+    }
+    findTask(state, { job->id, 0, 0, 7 })->runs.push_back({ .number = RunNumber(1) });
+    dropDoneOccurrences(*job);
+    CHECK(findTask(state, { job->id, 0, 0, 7 }));
+    CHECK_FALSE(findTask(state, { job->id, 1, 0, 7 }));
+}
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -633,6 +633,7 @@
             continue;
         m_state.dirty.erase(id);
         job.isCommitInFlight = true;
+        dropDoneOccurrences(job);
         const auto progress = std::make_shared<schema::GraphJobProgressT>(makeProgressRecord(m_state, job));
         const auto version = job.version;
         const auto expected = job.recordRevision;
