Split occurrences and progress records from Jobs.cpp

Occurrences.cpp opens and drops occurrences, JobRecords.cpp writes and restores the progress of a job, Jobs.cpp holds the life of a job and the order of commits. No logic changes, but that isCommitDue answers for records that are too large as well, which stood in its callers twice. All cases of the scheduler and node packages pass.

--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Log.h"
 #include "scheduler/Fleet.h"
+#include "scheduler/JobRecords.h"
+#include "scheduler/Occurrences.h"
 
 #include <algorithm>
 
@@ -42,7 +44,7 @@
     std::size_t entries = 1;
     const bool isAnyDue = std::ranges::any_of(m_state.dirty, [&](const GraphJobId& id) {
         const auto& job = m_state.jobs.at(id);
-        return !job.isCommitInFlight && job.commitNotBefore <= now && scheduler::isCommitDue(job, now, commitBatchDelay);
+        return !job.isCommitInFlight && scheduler::isCommitDue(job, now, commitBatchDelay);
     });
     if (!isAnyDue)
         return false;
--- a/libs/node/tests/RecordTests.cpp
+++ b/libs/node/tests/RecordTests.cpp
@@ -1,4 +1,5 @@
 #include "node/Records.h"
+#include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Placement.h"
 
--- a/libs/scheduler/include/scheduler/Jobs.h
+++ b/libs/scheduler/include/scheduler/Jobs.h
@@ -11,13 +11,6 @@
 // Adds an ended job from its stored record.
 void addEndedJob(State&, const schema::GraphJobProgressT&, Revision recordRevision, MonotonicTime now);
 
-// Drops done occurrences, the earliest first, while the job has more than 4,096 tasks in done occurrences without runs, so that neither the
-// job's record nor its memory grows with each occurrence.
-void dropDoneOccurrences(Job&);
-
-// Opens the occurrences of a periodic job that are due. Returns true if any was opened.
-bool openDueOccurrences(State&, Job&, MonotonicTime now, std::int64_t wallMs);
-
 // Marks the task as done and opens the steps whose dependencies are now met. Completes the job after its last task.
 void finishTask(State&, Job&, const TaskRef&, MonotonicTime now, std::int64_t wallMs);
 
@@ -27,13 +20,11 @@
 // Counts the job once in the shares of its queue: whether it was completed while its result was of use.
 void countServed(State&, Job&, bool isServed);
 
-// Returns the progress record to store, from which a later leader resumes the job.
-schema::GraphJobProgressT makeProgressRecord(const State&, const Job&);
-
 // Returns the jobs with progress to store and no commit in flight, in the order in which to store them: jobs that are due first,
 // then by the time that they have waited.
 std::vector<GraphJobId> orderCommits(const State&, MonotonicTime now, Milliseconds batchDelay);
-// Returns true if a start or a caller waits for the commit of the job, or if it has waited for the batch delay.
+// Returns true if a start or a caller waits for the commit of the job, or if it has waited for the batch delay, and its record is not too
+// large for the store.
 bool isCommitDue(const Job&, MonotonicTime now, Milliseconds batchDelay);
 
 // Returns the estimated duration of the critical path through the steps.
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -1,4 +1,5 @@
 #include "scheduler/Scheduler.h"
+#include "scheduler/Occurrences.h"
 
 #include "scheduler/Advice.h"
 #include "scheduler/EndAcks.h"
--- a/libs/scheduler/tests/CrashingTaskTests.cpp
+++ b/libs/scheduler/tests/CrashingTaskTests.cpp
@@ -1,5 +1,6 @@
 #include "SchedulerWorld.h"
 #include "scheduler/Fleet.h"
+#include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Suspects.h"
 
--- a/libs/scheduler/tests/EndAckTests.cpp
+++ b/libs/scheduler/tests/EndAckTests.cpp
@@ -1,5 +1,6 @@
 #include "OpenStart.h"
 #include "scheduler/EndAcks.h"
+#include "scheduler/JobRecords.h"
 
 #include <catch2/catch.hpp>
 
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -1,4 +1,5 @@
 #include "OpenStart.h"
+#include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
 
 #include <algorithm>
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -1,4 +1,6 @@
 #include "SchedulerWorld.h"
+#include "scheduler/JobRecords.h"
+#include "scheduler/Occurrences.h"
 
 #include <algorithm>
 
