--- a/libs/node/src/Records.cpp
+++ b/libs/node/src/Records.cpp
@@ -14,6 +14,9 @@
 
     constexpr char cancelSuffix[] = "~cancel";
     constexpr char cancelWord[] = "cancel ";
+    // Before a record with ranges of done occurrences, so that earlier versions find it not readable and leave the job alone: they would
+    // start the tasks of these occurrences again.
+    constexpr std::string_view rangesWord = "ranges ";
 
     template <typename Row> bool isPresent(const std::unique_ptr<Row>& row) { return row != nullptr; }
 
@@ -106,15 +109,20 @@
 std::shared_ptr<schema::GraphJobSpecT> decodeJob(const std::string& value) { return decodeUsable<schema::GraphJobSpec>(value); }
 
 // Written with each start and end, and the larger part of what a leader sends. A record has a row of the same shape for each task.
-std::string encodeProgress(const schema::GraphJobProgressT& progress) { return compress(encodeRecord<schema::GraphJobProgress>(progress)); }
+std::string encodeProgress(const schema::GraphJobProgressT& progress)
+{
+    const auto record = compress(encodeRecord<schema::GraphJobProgress>(progress));
+    return progress.done_occurrences.empty() ? record : std::string(rangesWord) + record;
+}
 
 // Also reads records of earlier versions, which are not compressed.
 std::unique_ptr<schema::GraphJobProgressT> decodeProgress(const std::string& value)
 {
-    const auto content = decompress(value);
+    const auto record = value.starts_with(rangesWord) ? value.substr(rangesWord.size()) : value;
+    const auto content = decompress(record);
     if (!content && content.error() == CompressionError::Corrupt)
         return nullptr;
-    return decodeUsable<schema::GraphJobProgress>(content ? *content : value);
+    return decodeUsable<schema::GraphJobProgress>(content ? *content : record);
 }
 
 } // namespace kingcuploom::node
--- a/libs/node/tests/RecordTests.cpp
+++ b/libs/node/tests/RecordTests.cpp
@@ -108,6 +108,22 @@
 }
 
 // As above, for the records of which a reader takes the rows one by one.
+// TWICE: guards against a node of an earlier version that takes over a job with dropped occurrences and starts their tasks again. It reads
+// a record that is not compressed as it is, and leaves a job alone whose record it cannot read.
+TEST_CASE("A record with dropped occurrences cannot be read by earlier versions")
+{
+    auto progress = makeProgress();
+    const auto value = encodeProgress(progress);
+    CHECK_FALSE(decodeRecord<schema::GraphJobProgress>(value));
+    const auto decoded = decodeProgress(value);
+    REQUIRE(decoded);
+    CHECK((*decoded == progress));
+    // Any other record is written as before.
+    progress.done_occurrences.clear();
+    CHECK(encodeProgress(progress).size() < value.size());
+    CHECK_FALSE(encodeProgress(progress).starts_with("ranges"));
+}
+
 TEST_CASE("Damaged records of counts and of the interference model are refused or can be read")
 {
     schema::QueueCountsT counts;
