Read a record with dropped occurrences in its test as an earlier version does

It now decompresses and reads the record as earlier versions do, and fails without the word (the record is readable).

--- a/libs/node/tests/RecordTests.cpp
+++ b/libs/node/tests/RecordTests.cpp
@@ -1,4 +1,6 @@
 #include "node/Records.h"
+
+#include "Compression.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Placement.h"
@@ -114,14 +116,17 @@
 {
     auto progress = makeProgress();
     const auto value = encodeProgress(progress);
-    CHECK_FALSE(decodeRecord<schema::GraphJobProgress>(value));
+    const auto isReadableBefore = [](const std::string& record) {
+        const auto content = decompress(record);
+        return decodeRecord<schema::GraphJobProgress>(content ? *content : record) != nullptr;
+    };
+    CHECK_FALSE(isReadableBefore(value));
     const auto decoded = decodeProgress(value);
     REQUIRE(decoded);
     CHECK((*decoded == progress));
     // Any other record is written as before.
     progress.done_occurrences.clear();
-    CHECK(encodeProgress(progress).size() < value.size());
-    CHECK_FALSE(encodeProgress(progress).starts_with("ranges"));
+    CHECK(isReadableBefore(encodeProgress(progress)));
 }
 
 TEST_CASE("Damaged records of counts and of the interference model are refused or can be read")
