--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -157,6 +157,8 @@
     void receive();
     bool isLate(MonotonicTime now) const;
     bool isTooLateToSend(MonotonicTime now) const { return !isSending && sendDeadline <= now; }
+    // Lets closing the connection discard what has not been delivered. Otherwise the kernel goes on sending it, for seconds.
+    void discardUndelivered();
     // The error of a call that is ended at this time.
     AsyncCallError errorAt(MonotonicTime now) const;
     void finish(Expected<Response, AsyncCallError>, bool isReusable);
@@ -258,6 +260,12 @@
 
 bool Connection::isLate(MonotonicTime now) const { return deadline <= now || (!isConnected && connectDeadline <= now); }
 
+void Connection::discardUndelivered()
+{
+    boost::system::error_code ec;
+    socket.set_option(asio::socket_base::linger(true, 0), ec);
+}
+
 AsyncCallError Connection::errorAt(MonotonicTime now) const
 {
     if (isSending)
@@ -390,8 +398,12 @@
         const bool cannotSend = !it->isConnected && it->isTooLateToSend(now);
         return cannotSend || (std::exchange(it->isOverdue, isLate) && isLate);
     });
-    for (const auto& connection : late)
-        connection->finish(makeUnexpected(connection->errorAt(now)), false);
+    for (const auto& connection : late) {
+        const auto error = connection->errorAt(now);
+        if (error == AsyncCallError::NoAnswer)
+            connection->discardUndelivered();
+        connection->finish(makeUnexpected(error), false);
+    }
     if (waitingCount > 0)
         dropLateWaiting(now);
 }
--- a/libs/http/tests/AsyncHttpClientTests.cpp
+++ b/libs/http/tests/AsyncHttpClientTests.cpp
@@ -96,6 +96,32 @@
     CHECK(result.error() == AsyncCallError::NoAnswer);
 }
 
+TEST_CASE("a call that was given up before its peer had it is not delivered any more")
+{
+    // Guards against an order that the kernel goes on sending after the caller has given it up, so that it arrives later than the caller
+    // reckons with. The request is larger than what a peer that does not read takes, and fits into the buffer of the sender.
+    constexpr std::size_t bodyBytes = 600 * 1024;
+    std::atomic<bool> isGivenUp = false;
+    std::atomic<bool> isReceivedWhole = false;
+    std::atomic<bool> isRead = false;
+    ScriptedServer server([&](auto& socket, int) {
+        while (!isGivenUp)
+            std::this_thread::sleep_for(Milliseconds(1));
+        isReceivedWhole = !ScriptedServer::readRequest(socket, bodyBytes).empty();
+        isRead = true;
+    });
+    auto call = makeCall(server.url(), callTimeout);
+    call.method = "POST";
+    call.body.assign(bodyBytes, 'x');
+    const auto result = callWithDelayedLoop(call, Milliseconds(0));
+    isGivenUp = true;
+    while (!isRead)
+        std::this_thread::sleep_for(Milliseconds(1));
+    REQUIRE_FALSE(result.has_value());
+    CHECK(result.error() == AsyncCallError::NoAnswer);
+    CHECK_FALSE(isReceivedWhole);
+}
+
 TEST_CASE("a call whose connection is up only after its send limit is not sent")
 {
     // Guards against sending a start that was permitted by a view which has become too old while the loop was late (rule DRAIN).
