--- a/libs/http/include/http/AsyncHttpClient.h
+++ b/libs/http/include/http/AsyncHttpClient.h
@@ -20,6 +20,8 @@
     NotSentInTime,
     // The request may have been executed, or may be executed later.
     NoAnswer,
+    // The same, but the peer's host has received the whole request by now, so that none of it arrives later.
+    DeliveredUnanswered,
 };
 
 const char* toString(AsyncCallError);
--- a/libs/http/src/AsyncHttpClient.cpp
+++ b/libs/http/src/AsyncHttpClient.cpp
@@ -8,10 +8,12 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <deque>
+#include <linux/sockios.h>
 #include <map>
 #include <netinet/tcp.h>
 #include <optional>
 #include <set>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -85,6 +87,8 @@
         return "not_sent";
     case AsyncCallError::NotSentInTime:
         return "not_sent_in_time";
+    case AsyncCallError::DeliveredUnanswered:
+        return "delivered_unanswered";
     case AsyncCallError::NoAnswer:
         break;
     }
@@ -157,10 +161,12 @@
     void receive();
     bool isLate(MonotonicTime now) const;
     bool isTooLateToSend(MonotonicTime now) const { return !isSending && sendDeadline <= now; }
+    // The peer's host has acknowledged the whole request.
+    bool isDelivered();
     // Lets closing the connection discard what has not been delivered. Otherwise the kernel goes on sending it, for seconds.
     void discardUndelivered();
     // The error of a call that is ended at this time.
-    AsyncCallError errorAt(MonotonicTime now) const;
+    AsyncCallError errorAt(MonotonicTime now);
     void finish(Expected<Response, AsyncCallError>, bool isReusable);
 
     std::weak_ptr<AsyncHttpClient::State> owner;
@@ -169,6 +175,8 @@
     tcp::socket socket;
     bool isConnected = false;
     bool isSending = false;
+    // The whole request has been passed to the socket.
+    bool isWritten = false;
     // A request has been sent on this connection.
     bool hasSent = false;
     beast::flat_buffer buffer;
@@ -191,6 +199,7 @@
     sendDeadline = sendDeadlineOf(call, now);
     request = requestOf(call);
     isSending = false;
+    isWritten = false;
     isOverdue = false;
     if (isConnected)
         return send();
@@ -239,6 +248,7 @@
             return;
         if (error)
             return self->finish(makeUnexpected(AsyncCallError::NoAnswer), false);
+        self->isWritten = true;
         self->receive();
     });
 }
@@ -260,16 +270,22 @@
 
 bool Connection::isLate(MonotonicTime now) const { return deadline <= now || (!isConnected && connectDeadline <= now); }
 
+bool Connection::isDelivered()
+{
+    int unacknowledgedBytes = 0;
+    return isWritten && ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes == 0;
+}
+
 void Connection::discardUndelivered()
 {
     boost::system::error_code ec;
     socket.set_option(asio::socket_base::linger(true, 0), ec);
 }
 
-AsyncCallError Connection::errorAt(MonotonicTime now) const
+AsyncCallError Connection::errorAt(MonotonicTime now)
 {
     if (isSending)
-        return AsyncCallError::NoAnswer;
+        return isDelivered() ? AsyncCallError::DeliveredUnanswered : AsyncCallError::NoAnswer;
     return isTooLateToSend(now) ? AsyncCallError::NotSentInTime : AsyncCallError::NotSent;
 }
 
--- a/libs/node/include/node/NodeMetrics.h
+++ b/libs/node/include/node/NodeMetrics.h
@@ -36,6 +36,8 @@
     void observeFirstStart(Milliseconds);
     // Time from the acceptance of a job to its end.
     void observeJob(const std::string& state, Milliseconds);
+    // Time from the end of a job that was held until callers see it.
+    void observeHeldJob(Milliseconds);
     void observeTakeover(Milliseconds);
     // Delay of the event loop's timers beyond their due time, which shows a leader that is short of CPU time.
     void observeLoopDelay(Milliseconds);
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -145,6 +145,8 @@
 void Coordinator::execute(const scheduler::Decision& decision)
 {
     m_metrics.countDecision(decision.event, metricReason(decision));
+    if (decision.event == "job_shown")
+        m_metrics.observeHeldJob(decision.inputAge);
     logEvent(LogLevel::Info, decision.event,
         { { "run", decision.run }, { "worker", decision.worker }, { "reason", decision.reason }, { "figure", decision.figure },
             { "input_age_ms", decision.inputAge.count() }, { "term", m_state.term } });
--- a/libs/node/src/JobService.cpp
+++ b/libs/node/src/JobService.cpp
@@ -17,6 +17,15 @@
     constexpr Milliseconds refusedRetryDelay { 60 };
     constexpr unsigned maxRefusals = 2;
     constexpr Milliseconds unansweredRetryDelay { 30 };
+    // A job that was held longer has lost its leader to one of an earlier version, which never shows it. Several times the time for which
+    // a start may be late, and longer than a time of day may be wrong.
+    constexpr Milliseconds maxHeldTime { 60'000 };
+
+    schema::JobState findShownState(const schema::GraphJobProgressT& progress, std::int64_t wallMs)
+    {
+        const bool isHeld = progress.held && wallMs - progress.ended_at_ms < maxHeldTime.count();
+        return isHeld ? schema::JobState::Running : progress.state;
+    }
 
     // Returns the outcome of a submission that conflicts with these items, if they explain the conflict.
     std::optional<SubmitOutcome> findOutcome(const GraphJobId& id, const std::vector<StoreItem>& current)
@@ -134,13 +143,16 @@
 void JobService::readProgress(
     const GraphJobId& id, const std::function<void(Expected<std::optional<schema::JobState>, QueryError>)>& onDone)
 {
-    m_store.get(runKey(id), [onDone](const Expected<std::optional<StoreItem>, StoreError>& item) {
+    m_store.get(runKey(id), [this, onDone](const Expected<std::optional<StoreItem>, StoreError>& item) {
         if (!item)
             return onDone(makeUnexpected(QueryError::StoreUnavailable));
         if (!*item)
             return onDone(std::optional<schema::JobState>());
         const auto progress = decodeProgress((*item)->value);
-        progress ? onDone(std::optional(progress->state)) : onDone(makeUnexpected(QueryError::StoreUnavailable));
+        if (!progress)
+            return onDone(makeUnexpected(QueryError::StoreUnavailable));
+        const auto wallMs = std::chrono::duration_cast<Milliseconds>(m_clock.wallNow().time_since_epoch()).count();
+        onDone(std::optional(findShownState(*progress, wallMs)));
     });
 }
 
--- a/libs/node/src/NodeMetrics.cpp
+++ b/libs/node/src/NodeMetrics.cpp
@@ -37,6 +37,8 @@
         = histogram(registry, "kingcuploom_first_start_delay_seconds", "From first sight of a job to its first start");
     prometheus::Family<prometheus::Histogram>& jobs
         = histogram(registry, "kingcuploom_job_duration_seconds", "From the acceptance of a job to its end");
+    prometheus::Family<prometheus::Histogram>& heldJobs
+        = histogram(registry, "kingcuploom_job_held_seconds", "From the end of a held job until callers see it");
     prometheus::Family<prometheus::Histogram>& takeovers
         = histogram(registry, "kingcuploom_takeover_duration_seconds", "From winning the term to scheduling");
     prometheus::Family<prometheus::Histogram>& loopDelays
@@ -102,6 +104,8 @@
 
 void NodeMetrics::observeJob(const std::string& state, Milliseconds time) { m_state->observe(m_state->jobs, { { "state", state } }, time); }
 
+void NodeMetrics::observeHeldJob(Milliseconds time) { m_state->observe(m_state->heldJobs, {}, time); }
+
 void NodeMetrics::observeTakeover(Milliseconds time) { m_state->observe(m_state->takeovers, {}, time); }
 
 void NodeMetrics::observeLoopDelay(Milliseconds time) { m_state->observe(m_state->loopDelays, {}, time); }
@@ -152,6 +156,7 @@
 void NodeMetrics::observeCommit(const std::string&, Milliseconds) { }
 void NodeMetrics::observeFirstStart(Milliseconds) { }
 void NodeMetrics::observeJob(const std::string&, Milliseconds) { }
+void NodeMetrics::observeHeldJob(Milliseconds) { }
 void NodeMetrics::observeTakeover(Milliseconds) { }
 void NodeMetrics::observeLoopDelay(Milliseconds) { }
 void NodeMetrics::setIdleStandingTasks(std::size_t) { }
--- a/libs/node/tests/CoordinatorTests.cpp
+++ b/libs/node/tests/CoordinatorTests.cpp
@@ -76,6 +76,30 @@
     CHECK(std::ranges::none_of(it.calls.starts, isOfLargeJob));
 }
 
+TEST_CASE("A held job is shown in its record, which is written again after the job's own key is gone")
+{
+    // Guards against a held job that nobody shows: by then the leader has dropped all of it but its record (issue 55, review/7).
+    CoordinatorFixture it(Milliseconds(20));
+    it.store.put("worker/1", "");
+    it.calls.answersToLose = 1;
+    it.calls.endsRuns = true;
+    it.submit("a");
+    const scheduler::GraphJobId id("a");
+    const auto findRecord = [&] {
+        const auto item = it.store.find(runKey(id));
+        return item ? decodeProgress(item->value) : nullptr;
+    };
+    const auto isEnded = [&] { return findRecord() && findRecord()->state == schema::JobState::Completed; };
+    REQUIRE(it.isReachedAfter(isEnded));
+    CHECK(findRecord()->held);
+    CHECK_FALSE(it.store.find(jobKey(id)));
+    const auto endedAt = it.clock.now();
+    REQUIRE(it.isReachedAfter([&] { return !findRecord()->held; }));
+    CHECK(it.clock.now() - endedAt > it.parameters.maxOrderDelay - Milliseconds(1000));
+    CHECK(findRecord()->state == schema::JobState::Completed);
+    CHECK(it.metrics.serialize().find("kingcuploom_job_held_seconds_count 1") != std::string::npos);
+}
+
 TEST_CASE("The number of waiting jobs is right again after one of its writes was carried out late", "[record]")
 {
     // MIXED: the number of an earlier moment stayed on all nodes for as long as the right one did not change.
--- a/libs/node/tests/NodeTests.cpp
+++ b/libs/node/tests/NodeTests.cpp
@@ -128,6 +128,26 @@
     CHECK(fixture.jobs.state(id, testTimeout).value() == schema::JobState::Completed);
 }
 
+TEST_CASE("Callers see a held job as running, and its end if no leader shows it")
+{
+    // Guards against a job that is shown as completed while a worker may still execute it (issue 55, review/7), and against one that a
+    // leader of an earlier version has taken over, which leaves the mark in the record.
+    ServiceFixture fixture;
+    const scheduler::GraphJobId id("a");
+    const auto wallMs = std::chrono::duration_cast<Milliseconds>(fixture.clock.wallNow().time_since_epoch()).count();
+    schema::GraphJobProgressT progress;
+    progress.state = GENERATE(schema::JobState::Completed, schema::JobState::Failed);
+    progress.held = true;
+    progress.ended_at_ms = wallMs - Milliseconds(20'000).count();
+    fixture.store.put(runKey(id), encodeProgress(progress));
+    CHECK(fixture.jobs.state(id, testTimeout).value() == schema::JobState::Running);
+    CHECK(fixture.jobs.cancel(id, testTimeout) == CancelOutcome::Cancelled);
+    CHECK_FALSE(fixture.store.find(cancelKey(id)));
+    progress.ended_at_ms = wallMs - Milliseconds(90'000).count();
+    fixture.store.put(runKey(id), encodeProgress(progress));
+    CHECK(fixture.jobs.state(id, testTimeout).value() == progress.state);
+}
+
 TEST_CASE("A job that starts and ends between two reads of its state is known to the service")
 {
     // Guards against reporting an accepted job as unknown: its progress was read before the first start and its key after the end. Seen in
--- a/libs/relay/src/ResultCodes.cpp
+++ b/libs/relay/src/ResultCodes.cpp
@@ -35,6 +35,8 @@
     case StartResult::StoreSilent:
     case StartResult::RelayLost:
         return RelayResult::Expired;
+    // Leaders of earlier versions know no other code for it.
+    case StartResult::DeliveredUnanswered:
     case StartResult::NoAnswer:
         break;
     }
--- a/libs/scheduler/include/scheduler/EndAcks.h
+++ b/libs/scheduler/include/scheduler/EndAcks.h
@@ -14,7 +14,4 @@
 // into a report, or if too large a share of all ends would be delayed.
 void advanceEndCursor(State&, Worker&, MonotonicTime now, Orders&);
 
-// Lets the counts of old ends fade.
-void ageAckDelays(AckDelays&, MonotonicTime now);
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/include/scheduler/LateStarts.h
+++ b/libs/scheduler/include/scheduler/LateStarts.h
@@ -11,6 +11,10 @@
 // Returns the latest time at which the worker carries out a start of a run of the task that is over, if there is one.
 std::optional<MonotonicTime> findLateStart(const State&, const TaskRef&, const WorkerId&, MonotonicTime now);
 
+// Returns the start of any task of the job, without an answer, that can be carried out last. Leaves out standing tasks and steps with
+// speculative copies.
+std::optional<LateStart> findLateStart(const State&, const Job&, MonotonicTime now);
+
 void pruneLateStarts(State&, MonotonicTime now);
 
 // Late starts of one job in its progress record, for the next leader.
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -2,6 +2,7 @@
 
 #include "base/Clock.h"
 #include "base/Ids.h"
+#include "scheduler/DelayShare.h"
 #include "scheduler/Interference.h"
 #include "scheduler/JobSizes.h"
 #include "scheduler/StartWindow.h"
@@ -120,7 +121,12 @@
     unsigned startRetries = 0;
     // Start orders without an answer, each of which the worker may still carry out.
     unsigned openStarts = 0;
+    // Those of them whose result is still awaited.
+    unsigned startsInFlight = 0;
     MonotonicTime lastStartAt;
+    // Time at which the last start order that has had no answer was sent, and the latest time at which the worker carries out one of them.
+    MonotonicTime unansweredStartAt;
+    MonotonicTime unansweredStartsEndAt;
     // Fencing token of the last start order.
     Revision startFence;
     // For a run of an earlier leader: its record does not rule out starts without an answer.
@@ -230,6 +236,8 @@
     bool isFirstStartReported = false;
     bool isWaitReported = false;
     bool isEndReported = false;
+    // The job has ended and callers see it as running.
+    bool isHeld = false;
     // A task of the job has run on trial and did not crash its worker, so not all of its tasks are of that kind.
     bool hasPassedTrial = false;
 
@@ -272,24 +280,18 @@
     // The acknowledgement waits until then, because a start of the task may be carried out late.
     std::optional<MonotonicTime> heldUntil;
     bool isHoldReported = false;
-    // Counted in AckDelays::delayed.
+    // Counted as delayed in State::ackDelays.
     bool isDelayCounted = false;
 };
 
 // A start without an answer, of a run that is over. The worker's next incarnation may still carry it out.
 struct LateStart {
     WorkerId worker;
+    MonotonicTime sentAt;
     // Latest time at which the worker carries it out.
     MonotonicTime until;
 };
 
-// Ends that workers have listed, and those of them whose acknowledgement was held back. Old ones count less.
-struct AckDelays {
-    std::uint64_t listed = 0;
-    std::uint64_t delayed = 0;
-    MonotonicTime halvedAt;
-};
-
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
@@ -449,12 +451,16 @@
     // Time from the sending of an order after which it has been carried out or is lost: 2 s until the worker has it, over a relay and a
     // connection that is still to be opened, and 12 s for which a worker may leave it (docs/platform.md).
     Milliseconds maxOrderDelay { 14'000 };
+    // The part of it for which a worker may leave an order that it has received.
+    Milliseconds maxExecutionDelay { 12'000 };
     // Largest record that the store takes as one value.
     std::size_t maxRecordBytes { 1'048'576 };
     // An end that is acknowledged later than this after it was listed counts as delayed.
     Milliseconds ackDelayLimit { 2000 };
-    // Share of the ends whose acknowledgement may be delayed for starts that may be carried out late. Operators allow a fifth.
-    unsigned maxDelayedAckPercent = 10;
+    // Ends whose acknowledgement may be delayed for starts that may be carried out late. Operators allow a fifth.
+    DelayLimit delayedAcks { .maxPercent = 10 };
+    // Jobs that may be held at their end.
+    DelayLimit heldJobs { .maxPercent = 2, .allowance = 5 };
     // Starts are withheld while the view of draining workers, or of domains closed by operators, is older than this.
     Milliseconds workerViewLimit { 1300 };
     Milliseconds operatorViewLimit { 3500 };
@@ -511,7 +517,12 @@
     std::size_t idleStandingTasks = 0;
     // By task. Expired entries are removed at each tick.
     std::map<TaskRef, std::vector<LateStart>> lateStarts;
-    AckDelays ackDelays;
+    // Ends that workers have listed, and those of them whose acknowledgement was held back.
+    DelayShare ackDelays;
+    // Ended jobs that callers see as running.
+    std::set<GraphJobId> heldJobs;
+    // Jobs that have completed or failed, and those of them that were held.
+    DelayShare heldJobShare;
     // Runs in phase Recorded, in the order of their commits. Entries whose run is gone or in another phase are ignored.
     std::vector<RunRef> recordedRuns;
 };
--- a/libs/scheduler/include/scheduler/Orders.h
+++ b/libs/scheduler/include/scheduler/Orders.h
@@ -82,7 +82,10 @@
     RelayLost,
     // Withheld: the store has been silent for too long to extend leases.
     StoreSilent,
+    // The worker may carry the order out later.
     NoAnswer,
+    // The same, but the worker's host has received the whole order by now.
+    DeliveredUnanswered,
 };
 
 const char* toString(StartResult);
--- a/libs/scheduler/src/EndAcks.cpp
+++ b/libs/scheduler/src/EndAcks.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    // Time after which an end counts half as much in AckDelays.
-    constexpr std::chrono::minutes ackDelayHalfLife { 10 };
-
     bool isCommitted(State& state, const UncommittedEnd& end)
     {
         const auto* job = findJob(state, end.run.task.job);
@@ -20,14 +17,12 @@
     // Counts the ends of the worker that are delayed by now. Counts none and returns false if that would exceed their share of all ends.
     bool countDelays(State& state, Worker& worker, MonotonicTime now)
     {
-        auto& delays = state.ackDelays;
         const auto isDelayed = [&](const UncommittedEnd& it) { return now - it.listedAt > state.parameters.ackDelayLimit; };
         const auto end = std::ranges::find_if_not(worker.uncommittedEnds, isDelayed);
         const auto added = static_cast<std::uint64_t>(
             std::count_if(worker.uncommittedEnds.begin(), end, [](const UncommittedEnd& it) { return !it.isDelayCounted; }));
-        if (added > 0 && (delays.delayed + added) * 100 > delays.listed * state.parameters.maxDelayedAckPercent)
+        if (!countDelayed(state.ackDelays, added, state.parameters.delayedAcks))
             return false;
-        delays.delayed += added;
         std::for_each(worker.uncommittedEnds.begin(), end, [](UncommittedEnd& it) { it.isDelayCounted = true; });
         return true;
     }
@@ -61,7 +56,7 @@
         entry.heldUntil = findLateStart(state, end.run.task, worker.id, now);
     worker.lastSeenEnd = end.number;
     worker.uncommittedEnds.push_back(std::move(entry));
-    ++state.ackDelays.listed;
+    ++state.ackDelays.total;
 }
 
 void advanceEndCursor(State& state, Worker& worker, MonotonicTime now, Orders& orders)
@@ -85,13 +80,4 @@
     }
 }
 
-void ageAckDelays(AckDelays& delays, MonotonicTime now)
-{
-    if (now - delays.halvedAt < ackDelayHalfLife)
-        return;
-    delays.listed /= 2;
-    delays.delayed /= 2;
-    delays.halvedAt = now;
-}
-
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/JobRecords.cpp
+++ b/libs/scheduler/src/JobRecords.cpp
@@ -147,6 +147,7 @@
     progress.start_unconfirmed = isStartUnconfirmed(job);
     progress.state = progress.start_unconfirmed ? schema::JobState::Running : job.state;
     progress.ended_at_ms = job.endedWallMs;
+    progress.held = job.isHeld;
     progress.late_starts = makeLateStartRecords(state, job.id);
     std::ranges::transform(job.droppedOccurrences, std::back_inserter(progress.done_occurrences),
         [](const OccurrenceRange& it) { return schema::OccurrenceRange(it.begin, it.end); });
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/Jobs.h"
 
+#include "scheduler/HeldJobs.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/LateStarts.h"
 #include "scheduler/Occurrences.h"
@@ -54,6 +55,7 @@
     if (progress) {
         restoreProgress(state, job, *progress, now);
         restoreLateStarts(state, *progress);
+        restoreHeldJob(state, job, *progress);
     }
     openDueOccurrences(state, job, now, wallMs);
     markWaiting(state, job);
@@ -72,9 +74,10 @@
     // Counted from here, as the time of day of the leader that ended the job may differ by any amount.
     job.endedAt = now;
     restoreLateStarts(state, progress);
+    restoreHeldJob(state, job, progress);
 }
 
-void finishTask(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
+void finishTask(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
 {
     auto& occurrence = job.occurrences.at(ref.occurrence);
     auto& step = occurrence.steps[ref.step];
@@ -91,12 +94,12 @@
     if (isOccurrenceDone(occurrence))
         ++job.doneOccurrences;
     if (job.doneOccurrences == getOccurrenceCount(*job.spec))
-        endJob(state, job, schema::JobState::Completed, now, wallMs);
+        endJob(state, job, schema::JobState::Completed, now, wallMs, orders);
     else
         markDirty(state, job, now, false);
 }
 
-void endJob(State& state, Job& job, schema::JobState outcome, MonotonicTime now, std::int64_t wallMs)
+void endJob(State& state, Job& job, schema::JobState outcome, MonotonicTime now, std::int64_t wallMs, Orders& orders)
 {
     job.state = outcome;
     job.endedAt = now;
@@ -106,6 +109,9 @@
     if (outcome == schema::JobState::Completed)
         countServed(state, job, now <= computeUselessAt(job));
     state.ended.insert(job.id);
+    // The caller of a cancelled job does not wait for its result.
+    if (outcome != schema::JobState::Cancelled)
+        holdEndedJob(state, job, now, orders);
     markDirty(state, job, now, true);
 }
 
--- a/libs/scheduler/src/LateStarts.cpp
+++ b/libs/scheduler/src/LateStarts.cpp
@@ -1,15 +1,35 @@
 #include "scheduler/LateStarts.h"
 
+#include "JobRuns.h"
+
 #include <algorithm>
 
 namespace kingcuploom::scheduler {
 
+namespace {
+
+    LateStart makeLateStart(const State& state, const Run& run)
+    {
+        const auto sentAt = run.startsInFlight > 0 ? run.lastStartAt : run.unansweredStartAt;
+        return { run.worker, sentAt, computeLastArrival(state, run) };
+    }
+
+    // Tasks that may be executed again in any case.
+    bool isRepeatable(const schema::StepSpecT& step) { return step.long_running || step.speculative; }
+
+    void keepLater(std::optional<LateStart>& latest, const LateStart& start)
+    {
+        if (!latest || latest->until < start.until)
+            latest = start;
+    }
+
+} // namespace
+
 void recordLateStart(State& state, const Job& job, const TaskRef& task, const Run& run, MonotonicTime now)
 {
-    const auto& step = getStepSpec(job, task.step);
-    if (step.long_running || step.speculative || !run.hadUnansweredStart || !mayArriveAfter(state, run, now))
+    if (isRepeatable(getStepSpec(job, task.step)) || !run.hadUnansweredStart || !mayArriveAfter(state, run, now))
         return;
-    state.lateStarts[task].push_back({ run.worker, computeLastArrival(state, run) });
+    state.lateStarts[task].push_back(makeLateStart(state, run));
 }
 
 std::optional<MonotonicTime> findLateStart(const State& state, const TaskRef& task, const WorkerId& worker, MonotonicTime now)
@@ -25,6 +45,22 @@
     return latest;
 }
 
+std::optional<LateStart> findLateStart(const State& state, const Job& job, MonotonicTime now)
+{
+    std::optional<LateStart> latest;
+    for (auto it = state.lateStarts.lower_bound({ job.id, 0, 0, 0 }); it != state.lateStarts.end() && it->first.job == job.id; ++it) {
+        for (const auto& start : it->second) {
+            if (start.until >= now)
+                keepLater(latest, start);
+        }
+    }
+    visitRuns(job, [&](std::uint32_t, std::uint32_t step, std::uint32_t, const Task&, const Run& run) {
+        if (!isRepeatable(getStepSpec(job, step)) && mayArriveAfter(state, run, now))
+            keepLater(latest, makeLateStart(state, run));
+    });
+    return latest;
+}
+
 void pruneLateStarts(State& state, MonotonicTime now)
 {
     const auto isExpired = [now](const LateStart& it) { return it.until < now; };
@@ -55,7 +91,7 @@
     const auto until = state.termStartedAt + state.parameters.maxOrderDelay;
     for (const auto& record : progress.late_starts) {
         const TaskRef task { GraphJobId(progress.job), record->occurrence, record->step, record->index };
-        state.lateStarts[task].push_back({ WorkerId(record->worker), until });
+        state.lateStarts[task].push_back({ WorkerId(record->worker), state.termStartedAt, until });
     }
 }
 
--- a/libs/scheduler/src/Model.cpp
+++ b/libs/scheduler/src/Model.cpp
@@ -110,10 +110,14 @@
 
 MonotonicTime computeLastArrival(const State& state, const Run& run)
 {
+    const auto& parameters = state.parameters;
+    auto last = run.unansweredStartsEndAt;
+    if (run.startsInFlight > 0)
+        last = std::max(last, run.lastStartAt + parameters.maxOrderDelay);
     // An earlier leader may have gone on with starts for as long as it went on extending leases.
-    const auto earlierTermEnd = state.termStartedAt + state.parameters.storeSilenceLimit;
-    const auto lastStartAt = run.hasUnknownStarts ? std::max(run.lastStartAt, earlierTermEnd) : run.lastStartAt;
-    return lastStartAt + state.parameters.maxOrderDelay;
+    if (run.hasUnknownStarts)
+        last = std::max(last, state.termStartedAt + parameters.storeSilenceLimit + parameters.maxOrderDelay);
+    return last;
 }
 
 bool mayArriveAfter(const State& state, const Run& run, MonotonicTime time)
--- a/libs/scheduler/src/Orders.cpp
+++ b/libs/scheduler/src/Orders.cpp
@@ -33,6 +33,8 @@
         return "store_silent";
     case StartResult::RelayLost:
         return "relay_lost";
+    case StartResult::DeliveredUnanswered:
+        return "delivered_unanswered";
     case StartResult::NoAnswer:
         break;
     }
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -35,16 +35,16 @@
         if (task.failures < maxAttempts)
             return;
         orders.emplace_back(Decision { "job_failed", toString({ ref, run.number }), run.worker, "max_attempts", {}, task.failures });
-        endJob(state, job, schema::JobState::Failed, now, wallMs);
+        endJob(state, job, schema::JobState::Failed, now, wallMs, orders);
         stopJobRuns(state, job, StopReason::JobEnded, now, orders);
     }
 
-    void finishGang(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
+    void finishGang(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
     {
         // The end of one member completes the whole gang. The other members are about to end as well, so their runs are not stopped.
         const auto count = job.occurrences.at(ref.occurrence).steps[ref.step].tasks.size();
         for (std::uint32_t index = 0; index < count; ++index)
-            finishTask(state, job, { ref.job, ref.occurrence, ref.step, index }, now, wallMs);
+            finishTask(state, job, { ref.job, ref.occurrence, ref.step, index }, now, wallMs, orders);
     }
 
     void stopCopies(State& state, const TaskRef& ref, MonotonicTime now, Orders& orders)
@@ -60,8 +60,8 @@
     void completeRun(State& state, Job& job, const RunRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
     {
         if (getStepSpec(job, ref.task.step).gang)
-            return finishGang(state, job, ref.task, now, wallMs);
-        finishTask(state, job, ref.task, now, wallMs);
+            return finishGang(state, job, ref.task, now, wallMs, orders);
+        finishTask(state, job, ref.task, now, wallMs, orders);
         stopCopies(state, ref.task, now, orders);
     }
 
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -139,6 +139,7 @@
         run.orderedAt = now;
         run.isOrderInFlight = true;
         ++run.openStarts;
+        ++run.startsInFlight;
         run.lastStartAt = now;
         if (const auto* worker = findWorker(state, run.worker))
             run.startFence = getFence(state, *worker);
@@ -146,10 +147,22 @@
         orders.emplace_back(StartOrder { ref, run.worker, isRepeat });
     }
 
+    bool isUnanswered(StartResult result) { return result == StartResult::NoAnswer || result == StartResult::DeliveredUnanswered; }
+
+    // The order in question is the last one at the latest.
+    MonotonicTime computeStartEnd(const Parameters& parameters, const Run& run, StartResult result, MonotonicTime now)
+    {
+        const auto sentBound = run.lastStartAt + parameters.maxOrderDelay;
+        const bool isReceived = result == StartResult::DeliveredUnanswered;
+        return isReceived ? std::min(sentBound, now + parameters.maxExecutionDelay) : sentBound;
+    }
+
     // A run of which this is not stored was started once at most. So the next leader, if a worker lists it, knows that no start of it is
     // left.
-    void recordUnansweredStart(State& state, const RunRef& ref, Run& run, MonotonicTime now)
+    void recordUnansweredStart(State& state, const RunRef& ref, Run& run, StartResult result, MonotonicTime now)
     {
+        run.unansweredStartAt = run.lastStartAt;
+        run.unansweredStartsEndAt = std::max(run.unansweredStartsEndAt, computeStartEnd(state.parameters, run, result, now));
         if (std::exchange(run.hadUnansweredStart, true))
             return;
         auto& job = *findJob(state, ref.task.job);
@@ -175,7 +188,7 @@
     {
         if (!run || isWithheld(result))
             return onStartWithheld(window);
-        if (result == StartResult::NoAnswer)
+        if (isUnanswered(result))
             return onStartUnanswered(window);
         onStartAnswered(window, std::chrono::duration_cast<Milliseconds>(now - run->orderedAt));
     }
@@ -255,8 +268,10 @@
     if (!run)
         return;
     run->isOrderInFlight = false;
-    if (result == StartResult::NoAnswer)
-        recordUnansweredStart(state, ref, *run, now);
+    if (run->startsInFlight > 0)
+        --run->startsInFlight;
+    if (isUnanswered(result))
+        recordUnansweredStart(state, ref, *run, result, now);
     else if (run->openStarts > 0)
         --run->openStarts;
     if (result == StartResult::Started)
@@ -319,6 +334,7 @@
         placeLater(state, ref.task, now + retryDelay);
         return giveUpStart(state, ref, *run, now, orders);
     case StartResult::NoAnswer:
+    case StartResult::DeliveredUnanswered:
         return resendStart(state, ref, *run, now, orders);
     }
 }
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -144,15 +144,9 @@
 void stopJobRuns(State& state, const Job& job, StopReason reason, MonotonicTime now, Orders& orders)
 {
     std::vector<RunRef> refs;
-    for (const auto& [number, occurrence] : job.occurrences) {
-        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            const auto& tasks = occurrence.steps[step].tasks;
-            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-                for (const auto& run : tasks[index].runs)
-                    refs.push_back({ { job.id, number, step, index }, run.number });
-            }
-        }
-    }
+    visitRuns(job, [&](std::uint32_t occurrence, std::uint32_t step, std::uint32_t index, const Task&, const Run& run) {
+        refs.push_back({ { job.id, occurrence, step, index }, run.number });
+    });
     std::ranges::for_each(refs, [&](const RunRef& ref) { stopRun(state, ref, reason, now, orders); });
 }
 
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -2,8 +2,8 @@
 #include "scheduler/Occurrences.h"
 
 #include "scheduler/Advice.h"
-#include "scheduler/EndAcks.h"
 #include "scheduler/Health.h"
+#include "scheduler/HeldJobs.h"
 #include "scheduler/LateStarts.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
@@ -22,7 +22,7 @@
     if (!job || hasEnded(*job))
         return;
     job->isCancelRequested = true;
-    endJob(state, *job, schema::JobState::Cancelled, now, wallMs);
+    endJob(state, *job, schema::JobState::Cancelled, now, wallMs, orders);
     orders.emplace_back(Decision { "job_cancelled", id.value(), {}, "caller", {}, static_cast<std::int64_t>(countRuns(*job)) });
     stopJobRuns(state, *job, StopReason::JobEnded, now, orders);
 }
@@ -48,7 +48,9 @@
     updateStartWindow(state.startWindow, now);
     checkRuns(state, now, orders);
     pruneLateStarts(state, now);
-    ageAckDelays(state.ackDelays, now);
+    ageDelayShare(state.ackDelays, now);
+    ageDelayShare(state.heldJobShare, now);
+    showHeldJobs(state, now, orders);
     checkProgress(state, now, orders);
     checkWorkers(state, now, orders);
     checkSuspects(state, now, wallMs, orders);
