Split leases, fencing tokens and polls from Fleet.cpp

It keeps the list of workers; Leases, Fences and Polls have a header each. No change of behaviour: the lines are moved, and onNewIncarnation, onLocalClock and computeMisdirectedLeaseEnd are declared in headers. Tests of the packages scheduler, node, relay, http and platform passed.

--- a/libs/node/src/CoordinatorCommits.cpp
+++ b/libs/node/src/CoordinatorCommits.cpp
@@ -1,7 +1,7 @@
 #include "node/Coordinator.h"
 
 #include "base/Log.h"
-#include "scheduler/Fleet.h"
+#include "scheduler/Fences.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Occurrences.h"
 
--- a/libs/node/src/CoordinatorOrders.cpp
+++ b/libs/node/src/CoordinatorOrders.cpp
@@ -1,7 +1,10 @@
 #include "node/Coordinator.h"
 
 #include "base/Log.h"
+#include "scheduler/Fences.h"
+#include "scheduler/Leases.h"
 #include "scheduler/Pacing.h"
+#include "scheduler/Polls.h"
 
 #include <boost/asio/post.hpp>
 
--- a/libs/scheduler/benchmark/LeaderBenchmark.cpp
+++ b/libs/scheduler/benchmark/LeaderBenchmark.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/Leases.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Scheduler.h"
--- a/libs/scheduler/include/scheduler/Scheduler.h
+++ b/libs/scheduler/include/scheduler/Scheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Orders.h"
 #include "scheduler/RunStarts.h"
--- a/libs/scheduler/src/Inventory.cpp
+++ b/libs/scheduler/src/Inventory.cpp
@@ -1,6 +1,6 @@
 #include "scheduler/Inventory.h"
 
-#include "scheduler/Fleet.h"
+#include "scheduler/Leases.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Suspects.h"
 
--- a/libs/scheduler/src/RunStarts.cpp
+++ b/libs/scheduler/src/RunStarts.cpp
@@ -2,7 +2,7 @@
 
 #include "RejectReason.h"
 #include "scheduler/Advice.h"
-#include "scheduler/Fleet.h"
+#include "scheduler/Fences.h"
 #include "scheduler/Health.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Reservations.h"
--- a/libs/scheduler/src/Runs.cpp
+++ b/libs/scheduler/src/Runs.cpp
@@ -1,8 +1,8 @@
 #include "scheduler/Runs.h"
 
 #include "JobRuns.h"
-#include "scheduler/Fleet.h"
 #include "scheduler/LateStarts.h"
+#include "scheduler/Leases.h"
 #include "scheduler/Reservations.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Suspects.h"
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -2,11 +2,13 @@
 #include "scheduler/Occurrences.h"
 
 #include "scheduler/Advice.h"
+#include "scheduler/Fleet.h"
 #include "scheduler/Health.h"
 #include "scheduler/HeldJobs.h"
 #include "scheduler/LateStarts.h"
 #include "scheduler/Pacing.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 #include "scheduler/StandingTasks.h"
--- a/libs/scheduler/tests/CapacityTests.cpp
+++ b/libs/scheduler/tests/CapacityTests.cpp
@@ -1,7 +1,9 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fences.h"
 #include "scheduler/Fleet.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 
 #include <algorithm>
--- a/libs/scheduler/tests/CrashingTaskTests.cpp
+++ b/libs/scheduler/tests/CrashingTaskTests.cpp
@@ -1,7 +1,7 @@
 #include "SchedulerWorld.h"
-#include "scheduler/Fleet.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/Polls.h"
 #include "scheduler/Suspects.h"
 
 #include <algorithm>
--- a/libs/scheduler/tests/CutReportTests.cpp
+++ b/libs/scheduler/tests/CutReportTests.cpp
@@ -1,5 +1,4 @@
 #include "SchedulerWorld.h"
-#include "scheduler/Fleet.h"
 
 #include <catch2/catch.hpp>
 
--- a/libs/scheduler/tests/EndedRun.h
+++ b/libs/scheduler/tests/EndedRun.h
@@ -2,6 +2,7 @@
 
 #include "OpenStart.h"
 #include "scheduler/EndAcks.h"
+#include "scheduler/Polls.h"
 
 namespace kingcuploom::scheduler::test {
 
--- a/libs/scheduler/tests/InterferenceTests.cpp
+++ b/libs/scheduler/tests/InterferenceTests.cpp
@@ -1,7 +1,9 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fleet.h"
 #include "scheduler/Health.h"
 #include "scheduler/Inventory.h"
 #include "scheduler/Pacing.h"
+#include "scheduler/Polls.h"
 #include "scheduler/Reservations.h"
 
 #include <catch2/catch.hpp>
--- a/libs/scheduler/tests/LapsedEntryTests.cpp
+++ b/libs/scheduler/tests/LapsedEntryTests.cpp
@@ -1,8 +1,10 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fences.h"
 #include "scheduler/Fleet.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Polls.h"
 #include "scheduler/Runs.h"
 
 #include <algorithm>
--- a/libs/scheduler/tests/LateOrderTests.cpp
+++ b/libs/scheduler/tests/LateOrderTests.cpp
@@ -1,5 +1,9 @@
 #include "OpenStart.h"
 #include "RestartWorlds.h"
+#include "scheduler/Fences.h"
+#include "scheduler/Fleet.h"
+#include "scheduler/Leases.h"
+#include "scheduler/Polls.h"
 
 #include <catch2/catch.hpp>
 
--- a/libs/scheduler/tests/LateStartTests.cpp
+++ b/libs/scheduler/tests/LateStartTests.cpp
@@ -1,6 +1,8 @@
 #include "OpenStart.h"
+#include "scheduler/Fleet.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Jobs.h"
+#include "scheduler/Polls.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/libs/scheduler/tests/OpenStart.h
+++ b/libs/scheduler/tests/OpenStart.h
@@ -3,7 +3,9 @@
 #include "SchedulerWorld.h"
 #include "scheduler/Fleet.h"
 #include "scheduler/Inventory.h"
+#include "scheduler/Leases.h"
 #include "scheduler/Placement.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 
--- a/libs/scheduler/tests/RestartBoundTests.cpp
+++ b/libs/scheduler/tests/RestartBoundTests.cpp
@@ -1,5 +1,5 @@
 #include "SchedulerWorld.h"
-#include "scheduler/Fleet.h"
+#include "scheduler/Polls.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/libs/scheduler/tests/RestartedWorkerTests.cpp
+++ b/libs/scheduler/tests/RestartedWorkerTests.cpp
@@ -1,6 +1,8 @@
 #include "OpenStart.h"
 #include "RestartWorlds.h"
+#include "scheduler/Fences.h"
 #include "scheduler/Fleet.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -1,7 +1,7 @@
 #include "SchedulerWorld.h"
-#include "scheduler/Fleet.h"
 #include "scheduler/JobRecords.h"
 #include "scheduler/Occurrences.h"
+#include "scheduler/Polls.h"
 #include "scheduler/RunStarts.h"
 #include "scheduler/Runs.h"
 
--- a/libs/scheduler/tests/SchedulerWorld.cpp
+++ b/libs/scheduler/tests/SchedulerWorld.cpp
@@ -1,6 +1,10 @@
 #include "SchedulerWorld.h"
+#include "scheduler/Fences.h"
+#include "scheduler/Fleet.h"
 #include "scheduler/JobRecords.h"
+#include "scheduler/Leases.h"
 #include "scheduler/Occurrences.h"
+#include "scheduler/Polls.h"
 
 #include <algorithm>
 
