--- a/libs/scheduler/include/scheduler/Urgency.h
+++ b/libs/scheduler/include/scheduler/Urgency.h
@@ -8,6 +8,8 @@
 
 // How a waiting job stands against its due time, in the order in which jobs of one priority are placed.
 enum class DeadlineStatus {
+    // Has a standing task that was executed before and is not for some time, as after the loss of its worker.
+    Interrupted,
     // Of a size whose recent jobs have been served more rarely than those of the whole queue; can finish while the result is useful.
     UnderservedBegun,
     Underserved,
--- a/libs/scheduler/src/Urgency.cpp
+++ b/libs/scheduler/src/Urgency.cpp
@@ -12,12 +12,33 @@
     // and make other jobs late as well.
     constexpr double chainMarginFactor = 1.1;
     constexpr Milliseconds chainMargin { 80 };
+    // Until then, a standing task that is to be restarted takes the room that jobs which can be on time leave.
+    constexpr Milliseconds maxInterruption { 1000 };
 
     bool isStanding(const Job& job)
     {
         return std::ranges::any_of(job.spec->steps, [](const auto& step) { return step->long_running; });
     }
 
+    bool isInterrupted(const Task& task, MonotonicTime now)
+    {
+        const bool wasExecuted = task.lastRun > RunNumber() && task.runs.empty();
+        return wasExecuted && task.idleSince && now - *task.idleSince >= maxInterruption;
+    }
+
+    bool isInterrupted(const Job& job, MonotonicTime now)
+    {
+        return std::ranges::any_of(job.occurrences, [&](const auto& entry) {
+            const auto& steps = entry.second.steps;
+            for (std::uint32_t i = 0; i < steps.size(); ++i) {
+                const auto isTaskInterrupted = [&](const Task& task) { return isInterrupted(task, now); };
+                if (getStepSpec(job, i).long_running && std::ranges::any_of(steps[i].tasks, isTaskInterrupted))
+                    return true;
+            }
+            return false;
+        });
+    }
+
     bool isUnderserved(const State& state, const Job& job)
     {
         const auto it = state.queueSizes.find(job.queue);
@@ -55,11 +76,16 @@
 // That order favours jobs with little work: under a lasting overload they take all room before a larger job has it. The sizes of a queue
 // that have fared worse than the whole therefore go before. Of their jobs, those that have begun are finished, and the one with the most
 // time left begins, since the one that expires soonest would mostly be in vain.
+//
+// A standing task needs several times the room of most others, and under a lasting load the jobs that can be on time take each part of it
+// as it comes free. One that was executed and has lost its worker would then be down for as long as the load lasts, so its job goes first.
 Urgency computeUrgency(const State& state, const Job& job, MonotonicTime now)
 {
     const auto priority = getPolicy(state, job).priority;
-    if (isStanding(job))
-        return { priority, DeadlineStatus::Standing, toMilliseconds(job.dueAt) };
+    if (isStanding(job)) {
+        const auto status = isInterrupted(job, now) ? DeadlineStatus::Interrupted : DeadlineStatus::Standing;
+        return { priority, status, toMilliseconds(job.dueAt) };
+    }
     const auto chain = computeRemainingCriticalPath(job);
     const auto chainWithMargin = std::chrono::duration_cast<Milliseconds>(chain * chainMarginFactor) + chainMargin;
     const auto uselessAt = computeUselessAt(job);
--- a/libs/scheduler/tests/UrgencyTests.cpp
+++ b/libs/scheduler/tests/UrgencyTests.cpp
@@ -61,6 +61,34 @@
     CHECK(of(late) < of(overdue));
 }
 
+// LOST (issues 26 and 52, review/8): standing tasks that had lost their workers were down for 18 s and more, as jobs that could be on time
+// took the room of a full fleet as it came free.
+TEST_CASE("A standing task that has lost its worker runs again within seconds on a full fleet")
+{
+    constexpr unsigned workers = 3;
+    constexpr Milliseconds submitInterval { 20 };
+    constexpr Milliseconds maxDowntime { 6000 };
+    SchedulerWorld world(workers);
+    world.submit(makeJobSpec("standing", { .counts = { 1 }, .cpuMillis = 3000, .isLongRunning = true }));
+    REQUIRE(world.runUntil([&] { return world.runningCount("standing") == 1; }, Milliseconds(2000)));
+    int count = 0;
+    const auto runLoaded = [&](Milliseconds time) {
+        for (Milliseconds passed { 0 }; passed < time; passed += submitInterval) {
+            world.submit(makeJobSpec("job" + std::to_string(count++), { .counts = { 1 }, .cpuMillis = 1000, .estimateMs = workMs }));
+            world.run(submitInterval);
+        }
+    };
+    runLoaded(Milliseconds(2000));
+    const auto host = findTask(world.state(), { GraphJobId("standing"), 0, 0, 0 })->runs.front().worker;
+    for (unsigned i = 0; i < workers; ++i) {
+        if (SchedulerWorld::workerId(i) == host)
+            world.removeWorker(i);
+    }
+    runLoaded(maxDowntime);
+    CHECK(world.runningCount("standing") == 1);
+    CHECK(world.violations().empty());
+}
+
 TEST_CASE("The remaining critical path counts only steps that are not done")
 {
     SchedulerWorld world(2);
