--- a/libs/scheduler/src/Urgency.cpp
+++ b/libs/scheduler/src/Urgency.cpp
@@ -13,7 +13,7 @@
     constexpr double chainMarginFactor = 1.1;
     constexpr Milliseconds chainMargin { 80 };
     // Until then, a standing task that is to be restarted takes the room that jobs which can be on time leave.
-    constexpr Milliseconds maxInterruption { 1000 };
+    constexpr Milliseconds maxInterruption { 4000 };
 
     bool isStanding(const Job& job)
     {
