--- a/libs/scheduler/src/LateStarts.cpp
+++ b/libs/scheduler/src/LateStarts.cpp
@@ -34,14 +34,26 @@
 
 std::optional<MonotonicTime> findLateStart(const State& state, const TaskRef& task, const WorkerId& worker, MonotonicTime now)
 {
-    const auto found = state.lateStarts.find(task);
-    if (found == state.lateStarts.end())
-        return std::nullopt;
+    const auto job = state.jobs.find(task.job);
+    const bool isSpecKnown = job != state.jobs.end() && job->second.spec;
+    // Of a job that an earlier leader has ended, it is not known whether the step is a gang.
+    const bool coversStep = !isSpecKnown || getStepSpec(job->second, task.step).gang;
     std::optional<MonotonicTime> latest;
-    for (const auto& it : found->second) {
-        if (it.worker == worker && it.until >= now)
-            latest = std::max(latest, std::optional(it.until));
+    const auto consider = [&](const LateStart& start) {
+        if (start.worker == worker && start.until >= now)
+            latest = std::max(latest, std::optional(start.until));
+    };
+    const auto first = coversStep ? TaskRef { task.job, task.occurrence, task.step, 0 } : task;
+    for (auto it = state.lateStarts.lower_bound(first); it != state.lateStarts.end() && toStepRef(it->first) == toStepRef(task); ++it) {
+        if (coversStep || it->first == task)
+            std::ranges::for_each(it->second, consider);
     }
+    if (!isSpecKnown || !coversStep || isRepeatable(getStepSpec(job->second, task.step)))
+        return latest;
+    visitRuns(job->second, [&](std::uint32_t occurrence, std::uint32_t step, std::uint32_t, const Task&, const Run& run) {
+        if (occurrence == task.occurrence && step == task.step && mayArriveAfter(state, run, now))
+            consider(makeLateStart(state, run));
+    });
     return latest;
 }
 
--- a/libs/scheduler/tests/EndAckTests.cpp
+++ b/libs/scheduler/tests/EndAckTests.cpp
@@ -23,6 +23,20 @@
     CHECK(it.hasDecision("end_ack_released", "starts_expired"));
 }
 
+// TWICE (issue 55): one end stands for all members of a gang. It was acknowledged at once, while a start of another member on the worker
+// could still be carried out by the worker's next incarnation.
+TEST_CASE("The end of a member of a gang waits for the late starts of the others on its worker", "[late_orders]")
+{
+    EndedRun it;
+    it.ref = it.begin("gang", { .counts = { 2 }, .cpuMillis = 10, .isGang = true });
+    const RunRef other { { it.ref.task.job, 0, 0, 1 }, RunNumber(1) };
+    findRun(it.state, it.ref)->openStarts = 0;
+    onStartResult(it.state, other, StartResult::NoAnswer, it.now, it.orders);
+    it.listEnd(EndKind::Done, it.now);
+    CHECK(it.cursor(it.now + it.state.parameters.maxOrderDelay) == EndNumber());
+    CHECK(it.cursor(it.now + it.state.parameters.maxOrderDelay + Milliseconds(1)) == EndNumber(1));
+}
+
 // Guards against acknowledgements that wait for no reason (the rule on acknowledgements): other ends count neither as executions nor as
 // attempts.
 TEST_CASE("The end of a run that was stopped is acknowledged at once", "[late_orders]")
