--- a/libs/scheduler/include/scheduler/Jobs.h
+++ b/libs/scheduler/include/scheduler/Jobs.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "scheduler/Orders.h"
+#include "scheduler/Model.h"
 
 namespace kingcuploom::scheduler {
 
@@ -12,10 +12,10 @@
 void addEndedJob(State&, const schema::GraphJobProgressT&, Revision recordRevision, MonotonicTime now);
 
 // Marks the task as done and opens the steps whose dependencies are now met. Completes the job after its last task.
-void finishTask(State&, Job&, const TaskRef&, MonotonicTime now, std::int64_t wallMs, Orders&);
+void finishTask(State&, Job&, const TaskRef&, MonotonicTime now, std::int64_t wallMs);
 
-// Ends the job, which is held if a start of one of its tasks may still be carried out. The caller must stop its runs.
-void endJob(State&, Job&, schema::JobState, MonotonicTime now, std::int64_t wallMs, Orders&);
+// Ends the job. The caller must stop its runs.
+void endJob(State&, Job&, schema::JobState, MonotonicTime now, std::int64_t wallMs);
 
 // Counts the job once in the shares of its queue: whether it was completed while its result was of use.
 void countServed(State&, Job&, bool isServed);
--- a/libs/scheduler/include/scheduler/LateStarts.h
+++ b/libs/scheduler/include/scheduler/LateStarts.h
@@ -8,13 +8,9 @@
 // and steps with speculative copies, whose tasks may be executed again.
 void recordLateStart(State&, const Job&, const TaskRef&, const Run&, MonotonicTime now);
 
-// Returns the latest time at which the worker carries out a start of a run of the task that is over, if there is one. For the member of a
+// Returns the start of a run of the task that is over which the worker can carry out last, if there is one. For the member of a
 // gang, the starts of all members on the worker count, because the end of one is the end of all.
-std::optional<MonotonicTime> findLateStart(const State&, const TaskRef&, const WorkerId&, MonotonicTime now);
-
-// Returns the start of any task of the job, without an answer, that can be carried out last. Leaves out standing tasks and steps with
-// speculative copies.
-std::optional<LateStart> findLateStart(const State&, const Job&, MonotonicTime now);
+std::optional<LateStart> findLateStart(const State&, const TaskRef&, const WorkerId&, MonotonicTime now);
 
 void pruneLateStarts(State&, MonotonicTime now);
 
--- a/libs/scheduler/include/scheduler/Model.h
+++ b/libs/scheduler/include/scheduler/Model.h
@@ -204,6 +204,14 @@
     std::uint32_t end = 0;
 };
 
+// A start without an answer, of a run that is over. The worker's next incarnation may still carry it out.
+struct LateStart {
+    WorkerId worker;
+    MonotonicTime sentAt;
+    // Latest time at which the worker carries it out.
+    MonotonicTime until;
+};
+
 struct Job {
     GraphJobId id;
     QueueName queue;
@@ -236,6 +244,8 @@
     bool isFirstStartReported = false;
     bool isWaitReported = false;
     bool isEndReported = false;
+    // Of the starts for which acknowledgements of the job's ends wait, the one that can be carried out last.
+    std::optional<LateStart> latestHeldStart;
     // The job has ended and callers see it as running.
     bool isHeld = false;
     // A task of the job has run on trial and did not crash its worker, so not all of its tasks are of that kind.
@@ -284,14 +294,6 @@
     bool isDelayCounted = false;
 };
 
-// A start without an answer, of a run that is over. The worker's next incarnation may still carry it out.
-struct LateStart {
-    WorkerId worker;
-    MonotonicTime sentAt;
-    // Latest time at which the worker carries it out.
-    MonotonicTime until;
-};
-
 struct WorkerHealth {
     std::vector<GraphJobId> recentFailures;
     unsigned stalls = 0;
--- a/libs/scheduler/src/EndAcks.cpp
+++ b/libs/scheduler/src/EndAcks.cpp
@@ -49,11 +49,16 @@
 
 void addUncommittedEnd(State& state, Worker& worker, const ListedEnd& end, MonotonicTime now)
 {
-    const auto* job = findJob(state, end.run.task.job);
+    auto* job = findJob(state, end.run.task.job);
     UncommittedEnd entry { end.number, end.run, job ? job->version : ProgressVersion(), now };
     // Other ends count neither as an execution of the task nor as an attempt.
-    if (end.kind == EndKind::Done || end.kind == EndKind::Failed)
-        entry.heldUntil = findLateStart(state, end.run.task, worker.id, now);
+    const bool mayBeHeld = end.kind == EndKind::Done || end.kind == EndKind::Failed;
+    const auto start = mayBeHeld ? findLateStart(state, end.run.task, worker.id, now) : std::nullopt;
+    if (start)
+        entry.heldUntil = start->until;
+    const bool isLatestOfJob = start && job && (!job->latestHeldStart || job->latestHeldStart->until < start->until);
+    if (isLatestOfJob)
+        job->latestHeldStart = start;
     worker.lastSeenEnd = end.number;
     worker.uncommittedEnds.push_back(std::move(entry));
     ++state.ackDelays.total;
--- a/libs/scheduler/src/HeldJobs.cpp
+++ b/libs/scheduler/src/HeldJobs.cpp
@@ -1,7 +1,5 @@
 #include "scheduler/HeldJobs.h"
 
-#include "scheduler/LateStarts.h"
-
 namespace kingcuploom::scheduler {
 
 namespace {
@@ -13,8 +11,8 @@
 void holdEndedJob(State& state, Job& job, MonotonicTime now, Orders& orders)
 {
     ++state.heldJobShare.total;
-    const auto start = findLateStart(state, job, now);
-    if (!start)
+    const auto& start = job.latestHeldStart;
+    if (!start || start->until < now)
         return;
     job.isHeld = countDelayed(state.heldJobShare, 1, state.parameters.heldJobs);
     if (job.isHeld)
@@ -28,6 +26,9 @@
     if (!progress.held || !hasEnded(job))
         return;
     job.isHeld = true;
+    // The earlier leader had sent the start before it wrote the record.
+    const auto termStartedAt = state.termStartedAt;
+    job.latestHeldStart = LateStart { {}, termStartedAt, termStartedAt + state.parameters.maxOrderDelay };
     state.heldJobs.insert(job.id);
 }
 
@@ -35,7 +36,7 @@
 {
     std::erase_if(state.heldJobs, [&](const GraphJobId& id) {
         auto& job = state.jobs.at(id);
-        if (findLateStart(state, job, now))
+        if (job.latestHeldStart->until >= now)
             return false;
         const auto held = toMilliseconds(now - job.endedAt.value_or(now));
         orders.emplace_back(Decision { "job_shown", id.value(), {}, "starts_over", held, held.count() });
--- a/libs/scheduler/src/Jobs.cpp
+++ b/libs/scheduler/src/Jobs.cpp
@@ -77,7 +77,7 @@
     restoreHeldJob(state, job, progress);
 }
 
-void finishTask(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+void finishTask(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
 {
     auto& occurrence = job.occurrences.at(ref.occurrence);
     auto& step = occurrence.steps[ref.step];
@@ -94,12 +94,12 @@
     if (isOccurrenceDone(occurrence))
         ++job.doneOccurrences;
     if (job.doneOccurrences == getOccurrenceCount(*job.spec))
-        endJob(state, job, schema::JobState::Completed, now, wallMs, orders);
+        endJob(state, job, schema::JobState::Completed, now, wallMs);
     else
         markDirty(state, job, now, false);
 }
 
-void endJob(State& state, Job& job, schema::JobState outcome, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+void endJob(State& state, Job& job, schema::JobState outcome, MonotonicTime now, std::int64_t wallMs)
 {
     job.state = outcome;
     job.endedAt = now;
@@ -109,9 +109,6 @@
     if (outcome == schema::JobState::Completed)
         countServed(state, job, now <= computeUselessAt(job));
     state.ended.insert(job.id);
-    // The caller of a cancelled job does not wait for its result.
-    if (outcome != schema::JobState::Cancelled)
-        holdEndedJob(state, job, now, orders);
     markDirty(state, job, now, true);
 }
 
--- a/libs/scheduler/src/LateStarts.cpp
+++ b/libs/scheduler/src/LateStarts.cpp
@@ -17,12 +17,6 @@
     // Tasks that may be executed again in any case.
     bool isRepeatable(const schema::StepSpecT& step) { return step.long_running || step.speculative; }
 
-    void keepLater(std::optional<LateStart>& latest, const LateStart& start)
-    {
-        if (!latest || latest->until < start.until)
-            latest = start;
-    }
-
 } // namespace
 
 void recordLateStart(State& state, const Job& job, const TaskRef& task, const Run& run, MonotonicTime now)
@@ -32,16 +26,16 @@
     state.lateStarts[task].push_back(makeLateStart(state, run));
 }
 
-std::optional<MonotonicTime> findLateStart(const State& state, const TaskRef& task, const WorkerId& worker, MonotonicTime now)
+std::optional<LateStart> findLateStart(const State& state, const TaskRef& task, const WorkerId& worker, MonotonicTime now)
 {
     const auto job = state.jobs.find(task.job);
     const bool isSpecKnown = job != state.jobs.end() && job->second.spec;
     // Of a job that an earlier leader has ended, it is not known whether the step is a gang.
     const bool coversStep = !isSpecKnown || getStepSpec(job->second, task.step).gang;
-    std::optional<MonotonicTime> latest;
+    std::optional<LateStart> latest;
     const auto consider = [&](const LateStart& start) {
-        if (start.worker == worker && start.until >= now)
-            latest = std::max(latest, std::optional(start.until));
+        if (start.worker == worker && start.until >= now && (!latest || latest->until < start.until))
+            latest = start;
     };
     const auto first = coversStep ? TaskRef { task.job, task.occurrence, task.step, 0 } : task;
     for (auto it = state.lateStarts.lower_bound(first); it != state.lateStarts.end() && toStepRef(it->first) == toStepRef(task); ++it) {
@@ -57,22 +51,6 @@
     return latest;
 }
 
-std::optional<LateStart> findLateStart(const State& state, const Job& job, MonotonicTime now)
-{
-    std::optional<LateStart> latest;
-    for (auto it = state.lateStarts.lower_bound({ job.id, 0, 0, 0 }); it != state.lateStarts.end() && it->first.job == job.id; ++it) {
-        for (const auto& start : it->second) {
-            if (start.until >= now)
-                keepLater(latest, start);
-        }
-    }
-    visitRuns(job, [&](std::uint32_t, std::uint32_t step, std::uint32_t, const Task&, const Run& run) {
-        if (!isRepeatable(getStepSpec(job, step)) && mayArriveAfter(state, run, now))
-            keepLater(latest, makeLateStart(state, run));
-    });
-    return latest;
-}
-
 void pruneLateStarts(State& state, MonotonicTime now)
 {
     const auto isExpired = [now](const LateStart& it) { return it.until < now; };
--- a/libs/scheduler/src/RunEnds.cpp
+++ b/libs/scheduler/src/RunEnds.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduler/EndAcks.h"
 #include "scheduler/Health.h"
+#include "scheduler/HeldJobs.h"
 #include "scheduler/Jobs.h"
 #include "scheduler/Runs.h"
 #include "scheduler/Suspects.h"
@@ -35,16 +36,16 @@
         if (task.failures < maxAttempts)
             return;
         orders.emplace_back(Decision { "job_failed", toString({ ref, run.number }), run.worker, "max_attempts", {}, task.failures });
-        endJob(state, job, schema::JobState::Failed, now, wallMs, orders);
+        endJob(state, job, schema::JobState::Failed, now, wallMs);
         stopJobRuns(state, job, StopReason::JobEnded, now, orders);
     }
 
-    void finishGang(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
+    void finishGang(State& state, Job& job, const TaskRef& ref, MonotonicTime now, std::int64_t wallMs)
     {
         // The end of one member completes the whole gang. The other members are about to end as well, so their runs are not stopped.
         const auto count = job.occurrences.at(ref.occurrence).steps[ref.step].tasks.size();
         for (std::uint32_t index = 0; index < count; ++index)
-            finishTask(state, job, { ref.job, ref.occurrence, ref.step, index }, now, wallMs, orders);
+            finishTask(state, job, { ref.job, ref.occurrence, ref.step, index }, now, wallMs);
     }
 
     void stopCopies(State& state, const TaskRef& ref, MonotonicTime now, Orders& orders)
@@ -60,8 +61,8 @@
     void completeRun(State& state, Job& job, const RunRef& ref, MonotonicTime now, std::int64_t wallMs, Orders& orders)
     {
         if (getStepSpec(job, ref.task.step).gang)
-            return finishGang(state, job, ref.task, now, wallMs, orders);
-        finishTask(state, job, ref.task, now, wallMs, orders);
+            return finishGang(state, job, ref.task, now, wallMs);
+        finishTask(state, job, ref.task, now, wallMs);
         stopCopies(state, ref.task, now, orders);
     }
 
@@ -123,8 +124,12 @@
 
 void onEnd(State& state, Worker& worker, const ListedEnd& end, MonotonicTime now, std::int64_t wallMs, Orders& orders)
 {
+    auto* job = findJob(state, end.run.task.job);
+    const bool hadEnded = !job || hasEnded(*job);
     processEnd(state, worker, end, now, wallMs, orders);
     addUncommittedEnd(state, worker, end, now);
+    if (!hadEnded && hasEnded(*job))
+        holdEndedJob(state, *job, now, orders);
 }
 
 } // namespace kingcuploom::scheduler
--- a/libs/scheduler/src/Scheduler.cpp
+++ b/libs/scheduler/src/Scheduler.cpp
@@ -24,7 +24,7 @@
     if (!job || hasEnded(*job))
         return;
     job->isCancelRequested = true;
-    endJob(state, *job, schema::JobState::Cancelled, now, wallMs, orders);
+    endJob(state, *job, schema::JobState::Cancelled, now, wallMs);
     orders.emplace_back(Decision { "job_cancelled", id.value(), {}, "caller", {}, static_cast<std::int64_t>(countRuns(*job)) });
     stopJobRuns(state, *job, StopReason::JobEnded, now, orders);
 }
--- a/libs/scheduler/src/Suspects.cpp
+++ b/libs/scheduler/src/Suspects.cpp
@@ -76,7 +76,7 @@
     {
         orders.emplace_back(
             Decision { "job_failed", toString({ ref, task.lastRun }), {}, "worker_crashes", {}, task.crashHistory.crashes });
-        endJob(state, job, schema::JobState::Failed, now, wallMs, orders);
+        endJob(state, job, schema::JobState::Failed, now, wallMs);
         stopJobRuns(state, job, StopReason::JobEnded, now, orders);
     }
 
--- a/libs/scheduler/tests/HeldJobTests.cpp
+++ b/libs/scheduler/tests/HeldJobTests.cpp
@@ -158,7 +158,20 @@
     CHECK(it.isShown(it.startsEndAt() + shortTime));
 }
 
-// Guards against callers that wait for no reason.
+// Guards against callers that wait for no reason (soak seeds 9205 and 9238): the end is on another worker and is acknowledged at once, and
+// the worker with the late start executes it or not, whatever callers see.
+TEST_CASE("A job is not held for a late start on a worker other than that of the end", "[late_orders]")
+{
+    HeldJob it;
+    it.state.lateStarts[it.ref.task].push_back({ WorkerId("other"), it.now, it.startsEndAt() });
+    findRun(it.state, it.ref)->openStarts = 0;
+    it.listEnd(EndKind::Done, it.now);
+    REQUIRE(hasEnded(it.job()));
+    CHECK_FALSE(it.record().held);
+    CHECK(it.cursor(it.now) == EndNumber(1));
+}
+
+// As above.
 TEST_CASE("A job without a start that may be carried out late is shown at once", "[late_orders]")
 {
     HeldJob it;
--- a/libs/scheduler/tests/RunLifeTests.cpp
+++ b/libs/scheduler/tests/RunLifeTests.cpp
@@ -181,13 +181,12 @@
     spec->start_at_ms = 1;
     spec->period_ms = 1;
     State state;
-    Orders orders;
     auto* job = addJob(state, spec, nullptr, {}, now, wallMs);
     const auto finishOccurrence = [&](std::uint32_t occurrence) {
         for (std::uint32_t index = 0; index < tasks; ++index) {
             const TaskRef ref { job->id, occurrence, 0, index };
             findTask(state, ref)->lastRun = RunNumber(1);
-            finishTask(state, *job, ref, now, wallMs, orders);
+            finishTask(state, *job, ref, now, wallMs);
         }
         openDueOccurrences(state, *job, now, wallMs);
         dropDoneOccurrences(*job);
@@ -224,11 +223,10 @@
     spec->start_at_ms = 1;
     spec->period_ms = 1;
     State state;
-    Orders orders;
     auto* job = addJob(state, spec, nullptr, {}, now, 1'000'000);
     for (std::uint32_t occurrence = 0; occurrence < 4; ++occurrence) {
         for (std::uint32_t index = 0; index < tasks; ++index)
-            finishTask(state, *job, { job->id, occurrence, 0, index }, now, 1'000'000, orders);
+            finishTask(state, *job, { job->id, occurrence, 0, index }, now, 1'000'000);
         openDueOccurrences(state, *job, now, 1'000'000);
     }
     findTask(state, { job->id, 0, 0, 7 })->runs.push_back({ .number = RunNumber(1) });
